--- a/call.go
+++ b/call.go
@@ -29,6 +29,19 @@
 	ContentLength int64 `cbor:"14,keyasint"`
 	// Background says that the call serves no customer request.
 	Background bool `cbor:"15,keyasint,omitempty"`
+	// Authority is the host name that the request is for.
+	Authority string `cbor:"16,keyasint,omitempty"`
+	// Caller is the service on whose host the request began.
+	Caller ServiceID `cbor:"17,keyasint,omitempty"`
+	// Nested says that the call was made by a target at work.
+	Nested bool `cbor:"18,keyasint,omitempty"`
+	// Returning says that the caller was refused before and came back.
+	Returning bool `cbor:"19,keyasint,omitempty"`
+	// Patience is the longest time to wait for the target before another one
+	// should be tried.
+	Patience time.Duration `cbor:"20,keyasint,omitempty"`
+	// Idempotent says that the call may run more than once.
+	Idempotent bool `cbor:"21,keyasint,omitempty"`
 }
 
 // Call is one call to a target.
@@ -53,6 +66,8 @@
 	Limit    int `cbor:"1,keyasint"`
 	InFlight int `cbor:"2,keyasint"`
 	Queued   int `cbor:"3,keyasint"`
+	// Wait is how long a call of the kind that was answered would wait now.
+	Wait time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Answer is one answer of a target.
--- a/cmd/balsamproxy/main.go
+++ b/cmd/balsamproxy/main.go
@@ -105,6 +105,11 @@
 	if err != nil {
 		return err
 	}
+	_, err = parser.AddCommand("mesh", "Run a daemon on the platform",
+		"Run the daemon of this host with the platform's store, until SIGTERM.", &meshCommand{program: program})
+	if err != nil {
+		return err
+	}
 	key, err := parser.AddCommand("key", "Make keys", "Make keys of client accounts and of operators.", &struct{}{})
 	if err != nil {
 		return err
--- a/core/allowance/lender.go
+++ b/core/allowance/lender.go
@@ -71,6 +71,17 @@
 	lender.buckets.Put(account, &bucket{startAt: now.Add(Release), loans: map[Borrower]*loan{}})
 }
 
+// Open makes this host the only home of an account from an instant on, when no
+// other home can lend any more. A new fleet begins with the whole burst; after
+// another home, what that one lent is not known, so the level begins at zero.
+func (lender *Lender) Open(account balsamproxy.ClientAccountID, share Share, whole bool, now time.Time) {
+	opened := &bucket{startAt: now, at: now, share: share, loans: map[Borrower]*loan{}}
+	if whole {
+		opened.level = share.burst
+	}
+	lender.buckets.Put(account, opened)
+}
+
 // Resign ends this host's share of all accounts that fail a test.
 func (lender *Lender) Resign(keep func(balsamproxy.ClientAccountID) bool) {
 	resigned := []balsamproxy.ClientAccountID{}
@@ -127,6 +138,17 @@
 	return true
 }
 
+// Wait returns when a home expects to have a token of an account again.
+func (lender *Lender) Wait(account balsamproxy.ClientAccountID) time.Duration {
+	bucket, found := lender.buckets.Get(account)
+	if !found {
+		return Release
+	}
+	bucket.mutex.Lock()
+	defer bucket.mutex.Unlock()
+	return bucket.wait()
+}
+
 // advance lets time pass: old loans end and the level rises to what the share
 // and the loans leave room for.
 func (bucket *bucket) advance(share Share, now time.Time) {
--- a/core/config/check.go
+++ b/core/config/check.go
@@ -18,6 +18,7 @@
 	burstMax      = 1_000_000
 	deadlineMaxMS = 600_000
 	retryLimitMax = 10
+	weightMax     = 1_000_000
 	documentMax   = 900 * 1024
 	digestPrefix  = "sha256:"
 	digestBytes   = 32
@@ -27,7 +28,7 @@
 
 var methodsKnown = []string{
 	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
-	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions, AnyMethod,
 }
 
 // Parse returns the document in data, or all of its faults.
@@ -94,6 +95,9 @@
 	check.accounts[account.ID] = true
 	check.between(pointer+"/rate", account.Rate, 0, rateMax)
 	check.between(pointer+"/burst", account.Burst, 0, burstMax)
+	if account.Unlimited && (account.Rate > 0 || account.Burst > 0) {
+		check.faults.Add(pointer+"/unlimited", "must be absent beside a rate or a burst")
+	}
 	if account.Rate > 0 && account.Burst == 0 {
 		check.faults.Add(pointer+"/burst", "must be at least 1 with a rate above 0")
 	}
@@ -144,7 +148,7 @@
 		check.faults.Add(pointer+"/id", "%q stands twice", route.ID)
 	}
 	check.routes[route.ID] = true
-	check.name(pointer+"/service", string(route.Service))
+	check.parts(route, pointer)
 	check.path(route.Path, pointer+"/path")
 	check.methods(route, pointer)
 	if !slices.Contains([]Access{AccessKeyed, AccessOpen, AccessInternal}, route.Access) {
@@ -155,6 +159,28 @@
 		int(balsamproxy.PriorityLowest), int(balsamproxy.PriorityHighest))
 	check.between(pointer+"/deadline-ms", route.Deadline, 1, deadlineMaxMS)
 	check.between(pointer+"/retry-limit", route.Retries(), 0, retryLimitMax)
+	check.between(pointer+"/objective-ms", route.Objective, 0, deadlineMaxMS)
+}
+
+// parts refuses a route without a service or with both ways to name one.
+func (check *documentCheck) parts(route Route, pointer string) {
+	if len(route.Split) == 0 {
+		check.name(pointer+"/service", string(route.Service))
+		return
+	}
+	if route.Service != "" {
+		check.faults.Add(pointer+"/service", "must be absent beside a split")
+	}
+	whole := 0
+	for index, part := range route.Split {
+		child := strictjson.Child(pointer+"/split", index)
+		check.name(child+"/service", string(part.Service))
+		check.between(child+"/weight", part.Weight, 0, weightMax)
+		whole += part.Weight
+	}
+	if whole == 0 {
+		check.faults.Add(pointer+"/split", "must have a weight above 0")
+	}
 }
 
 func (check *documentCheck) path(path, pointer string) {
@@ -182,7 +208,7 @@
 // match refuses two routes for the same method and path. Internal routes are
 // matched for each service apart.
 func (check *documentCheck) match(route Route, method, pointer string) {
-	match := method + " " + route.Path
+	match := method + " " + route.Host + route.Path
 	if route.Access == AccessInternal {
 		match = string(route.Service) + " " + match
 	}
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -4,6 +4,8 @@
 package config
 
 import (
+	"time"
+
 	"balsamproxy"
 )
 
@@ -20,6 +22,9 @@
 	AccessInternal Access = "internal"
 )
 
+// AnyMethod stands for all methods in a route.
+const AnyMethod = "*"
+
 // RetryLimitDefault is the number of extra attempts of a customer request
 // whose route sets none.
 const RetryLimitDefault = 3
@@ -28,6 +33,19 @@
 type Document struct {
 	ClientAccounts []ClientAccount `json:"client-accounts"`
 	Routes         []Route         `json:"routes"`
+	// Callers limits what callers' connections may carry.
+	Callers *CallerLimits `json:"callers,omitempty"`
+}
+
+// CallerLimits bounds what a caller may send on one connection. Zero means
+// the default of the daemon.
+type CallerLimits struct {
+	HeaderBytes int `json:"header-bytes,omitempty"`
+	BodyBytes   int `json:"body-bytes,omitempty"`
+	// HeaderTimeout is the time for a header in milliseconds.
+	HeaderTimeout int `json:"header-timeout-ms,omitempty"`
+	// IdleTimeout is how long a connection may be idle in milliseconds.
+	IdleTimeout int `json:"idle-timeout-ms,omitempty"`
 }
 
 // ClientAccount is one customer of the services with its keys and rate.
@@ -38,6 +56,12 @@
 	// Burst is the number of requests that may come at once on top.
 	Burst int   `json:"burst"`
 	Keys  []Key `json:"keys"`
+	// Unlimited says that the account has no rate; Rate and Burst are then
+	// zero.
+	Unlimited bool `json:"unlimited,omitempty"`
+	// Priority goes before the priority of a route; absent means that the
+	// route's holds.
+	Priority *balsamproxy.Priority `json:"priority,omitempty"`
 }
 
 // Key is the digest of one secret that proves a client account.
@@ -51,9 +75,14 @@
 
 // Route tells which requests go to which service and how.
 type Route struct {
-	ID      balsamproxy.RouteID   `json:"id"`
-	Service balsamproxy.ServiceID `json:"service"`
-	// Methods are the HTTP methods of the route.
+	ID balsamproxy.RouteID `json:"id"`
+	// Service is the only service of the route; empty if Split is set.
+	Service balsamproxy.ServiceID `json:"service,omitempty"`
+	// Split shares the requests of the route out over several services.
+	Split []Part `json:"split,omitempty"`
+	// Host is the host name that requests are for; empty means any.
+	Host string `json:"host,omitempty"`
+	// Methods are the HTTP methods of the route; AnyMethod stands for all.
 	Methods []string `json:"methods"`
 	// Path is exact, or a prefix if it ends with a slash.
 	Path       string               `json:"path"`
@@ -65,6 +94,31 @@
 	// RetryLimit is the number of extra attempts over the whole call graph;
 	// absent means RetryLimitDefault.
 	RetryLimit *int `json:"retry-limit,omitempty"`
+	// Objective is the time within which an answer is worth most, in
+	// milliseconds; zero means the deadline.
+	Objective int `json:"objective-ms,omitempty"`
+}
+
+// Part is one service of a split route.
+type Part struct {
+	Service balsamproxy.ServiceID `json:"service"`
+	Weight  int                   `json:"weight"`
+}
+
+// Parts returns the services of the route with their weights.
+func (route Route) Parts() []Part {
+	if len(route.Split) > 0 {
+		return route.Split
+	}
+	return []Part{{Service: route.Service, Weight: 1}}
+}
+
+// ObjectiveOrDeadline returns the time within which an answer is worth most.
+func (route Route) ObjectiveOrDeadline() time.Duration {
+	if route.Objective > 0 {
+		return time.Duration(route.Objective) * time.Millisecond
+	}
+	return time.Duration(route.Deadline) * time.Millisecond
 }
 
 // Retries returns the number of extra attempts for one customer request.
--- a/core/config/index.go
+++ b/core/config/index.go
@@ -26,6 +26,12 @@
 	keys     map[Digest]indexedKey
 	accounts map[balsamproxy.ClientAccountID]allowance.Limits
 	routes   []Route
+	// hosts holds the routes of each host name, those with longer paths
+	// first; the empty name has the routes of any host.
+	hosts map[string][]Route
+	// priorities holds the accounts that have a priority of their own.
+	priorities map[balsamproxy.ClientAccountID]balsamproxy.Priority
+	unlimited  map[balsamproxy.ClientAccountID]bool
 }
 
 type indexedKey struct {
@@ -42,14 +48,25 @@
 		keys:     map[Digest]indexedKey{},
 		accounts: map[balsamproxy.ClientAccountID]allowance.Limits{},
 		routes:   slices.Clone(document.Routes),
+		hosts:    map[string][]Route{},
+
+		priorities: map[balsamproxy.ClientAccountID]balsamproxy.Priority{},
+		unlimited:  map[balsamproxy.ClientAccountID]bool{},
 	}
 	for _, account := range document.ClientAccounts {
 		index.accounts[account.ID] = allowance.Limits{Rate: account.Rate, Burst: account.Burst}
+		index.unlimited[account.ID] = account.Unlimited
+		if account.Priority != nil {
+			index.priorities[account.ID] = *account.Priority
+		}
 		for _, key := range account.Keys {
 			index.addKey(account.ID, key)
 		}
 	}
 	slices.SortStableFunc(index.routes, longerPathFirst)
+	for _, route := range index.routes {
+		index.hosts[route.Host] = append(index.hosts[route.Host], route)
+	}
 	return index
 }
 
@@ -91,6 +108,33 @@
 	return index.accounts[account]
 }
 
+// Unlimited says whether an account has no rate at all.
+func (index *Index) Unlimited(account balsamproxy.ClientAccountID) bool {
+	return index.unlimited[account]
+}
+
+// Priority returns the priority of a request: the account's own if it has
+// one, else the route's.
+func (index *Index) Priority(account balsamproxy.ClientAccountID, route Route) balsamproxy.Priority {
+	if priority, found := index.priorities[account]; found {
+		return priority
+	}
+	return route.Priority
+}
+
+// HostRoute returns the route of a request for a host name: the one with the
+// longest path among those of that host, or else of any host.
+func (index *Index) HostRoute(host, method, path string) (Route, bool) {
+	for _, name := range []string{host, ""} {
+		for _, route := range index.hosts[name] {
+			if route.Access != AccessInternal && route.matches(method, path) {
+				return route, true
+			}
+		}
+	}
+	return Route{}, false
+}
+
 // CallerRoute returns the route of a caller's request.
 func (index *Index) CallerRoute(method, path string) (Route, bool) {
 	for _, route := range index.routes {
@@ -112,7 +156,7 @@
 }
 
 func (route Route) matches(method, path string) bool {
-	if !slices.Contains(route.Methods, method) {
+	if !slices.Contains(route.Methods, method) && !slices.Contains(route.Methods, AnyMethod) {
 		return false
 	}
 	if strings.HasSuffix(route.Path, "/") {
--- /dev/null
+++ b/core/evidence/evidence_test.go
@@ -0,0 +1,41 @@
+package evidence_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"balsamproxy"
+	"balsamproxy/core/evidence"
+)
+
+func TestHolds(t *testing.T) {
+	const limit = 4 * time.Second
+	cases := map[string]struct {
+		confirmed []time.Duration
+		now       time.Duration
+		want      bool
+	}{
+		"never confirmed":                      {nil, 0, false},
+		"just confirmed":                       {[]time.Duration{time.Second}, time.Second, true},
+		"within the limit":                     {[]time.Duration{time.Second}, 5*time.Second - 1, true},
+		"at the limit":                         {[]time.Duration{time.Second}, 5 * time.Second, false},
+		"older read that ends later":           {[]time.Duration{3 * time.Second, time.Second}, 6 * time.Second, true},
+		"suspended for longer than the limit":  {[]time.Duration{time.Second}, time.Minute, false},
+		"confirmed again after a lost contact": {[]time.Duration{time.Second, time.Minute}, time.Minute, true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			held := evidence.Evidence{Limit: limit}
+			for _, began := range test.confirmed {
+				held.Confirm(balsamproxy.BootTime(began))
+			}
+			assert.Equal(t, held.Holds(balsamproxy.BootTime(test.now)), test.want)
+		})
+	}
+}
+
+func TestLimitLeavesRoom(t *testing.T) {
+	assert.Equal(t, evidence.LimitFor(5*time.Second), 3500*time.Millisecond)
+}
--- /dev/null
+++ b/core/placing/chooser.go
@@ -0,0 +1,230 @@
+// Package placing chooses the target of a call by the time that an answer is
+// expected to take, as earlier answers and refusals showed it.
+//
+// It answers the load in which targets of one service differ in speed, bytes
+// between data centres are dear, and some targets fail a part of their calls
+// while they look well: near targets come first as long as they are no slower
+// than far ones by more than the bytes are worth, and a target that fails is
+// given less, and a little again after a while.
+package placing
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"balsamproxy"
+	"balsamproxy/core/membership"
+)
+
+const (
+	// farPenalty is how much longer an answer of the own data centre may take
+	// before another one is asked, for a call without a body.
+	farPenalty = 120 * time.Millisecond
+	// farPenaltyPerKilobyte is added for each kilobyte of the body.
+	farPenaltyPerKilobyte = 40 * time.Millisecond
+	// failurePenalty is what a target that fails all calls is charged.
+	failurePenalty = 3 * time.Second
+	// failureHalfLife is the time in which half of a failure is forgotten.
+	failureHalfLife = 2 * time.Second
+	// failurePart is the weight of one call in the share of failures.
+	failurePart = 0.12
+	// lossPart is the weight of one lost connection or unreachable target.
+	lossPart = 0.5
+	// waitMemory is how long a wait that a target told is believed.
+	waitMemory = 250 * time.Millisecond
+	// latencyPart is the weight of one call in the usual time of an answer.
+	latencyPart = 0.1
+	// unknownLatency is taken for a target that has not answered yet.
+	unknownLatency = 20 * time.Millisecond
+	// crowdPart is the part of a target's slots that, taken by calls of this
+	// daemon alone, doubles the expected time.
+	crowdPart = 0.25
+	// jitter is the random part of the expected time, so that daemons that
+	// know the same do not all choose the same.
+	jitter = 0.15
+)
+
+// Call is what matters of a call for its place.
+type Call struct {
+	Kind balsamproxy.RouteID
+	// Bytes is the length of the body.
+	Bytes int
+	// Excluded are targets that must not be chosen.
+	Excluded []balsamproxy.TargetID
+}
+
+// Chooser remembers what each target showed. Its zero value works.
+type Chooser struct {
+	// DataCentre is the data centre of this host.
+	DataCentre balsamproxy.DataCentreID
+
+	mutex   sync.Mutex
+	targets map[balsamproxy.TargetID]*memory
+}
+
+type memory struct {
+	open      int
+	latencies map[balsamproxy.RouteID]time.Duration
+	failures  float64
+	failedAt  time.Time
+	wait      time.Duration
+	waitAt    time.Time
+	usedAt    time.Time
+}
+
+// forgetAfter is how long an unused target is remembered.
+const forgetAfter = time.Minute
+
+func (chooser *Chooser) memory(target balsamproxy.TargetID, now time.Time) *memory {
+	held, found := chooser.targets[target]
+	if !found {
+		if chooser.targets == nil {
+			chooser.targets = map[balsamproxy.TargetID]*memory{}
+		}
+		chooser.forget(now)
+		held = &memory{latencies: map[balsamproxy.RouteID]time.Duration{}}
+		chooser.targets[target] = held
+	}
+	held.usedAt = now
+	return held
+}
+
+func (chooser *Chooser) forget(now time.Time) {
+	for target, held := range chooser.targets {
+		if held.open == 0 && now.Sub(held.usedAt) > forgetAfter {
+			delete(chooser.targets, target)
+		}
+	}
+}
+
+// Choose returns the endpoint with the least expected time. Random returns
+// uniform numbers from 0 up to 1.
+func (chooser *Chooser) Choose(endpoints []membership.Endpoint, call Call, random func() float64, now time.Time) (membership.Endpoint, bool) {
+	chooser.mutex.Lock()
+	defer chooser.mutex.Unlock()
+	var best membership.Endpoint
+	least := math.Inf(1)
+	for _, endpoint := range endpoints {
+		if excludes(call.Excluded, endpoint.Target.ID) {
+			continue
+		}
+		expected := chooser.expected(endpoint, call, now) * (1 + jitter*random())
+		if expected < least {
+			least = expected
+			best = endpoint
+		}
+	}
+	return best, !math.IsInf(least, 1)
+}
+
+func excludes(excluded []balsamproxy.TargetID, target balsamproxy.TargetID) bool {
+	for _, other := range excluded {
+		if other == target {
+			return true
+		}
+	}
+	return false
+}
+
+// expected returns the time in seconds that an answer is expected to take,
+// with what the way there is worth.
+func (chooser *Chooser) expected(endpoint membership.Endpoint, call Call, now time.Time) float64 {
+	far := 0.0
+	if endpoint.DataCentre != chooser.DataCentre {
+		far = farPenalty.Seconds() + farPenaltyPerKilobyte.Seconds()*float64(call.Bytes)/1024
+	}
+	held, found := chooser.targets[endpoint.Target.ID]
+	if !found {
+		return unknownLatency.Seconds() + far
+	}
+	latency, answered := held.latencies[call.Kind]
+	if !answered {
+		latency = unknownLatency
+	}
+	crowd := float64(held.open) / (crowdPart * float64(max(endpoint.Target.Slots, 1)))
+	expected := latency.Seconds()*(1+crowd) + far
+	if now.Sub(held.waitAt) < waitMemory {
+		expected += held.wait.Seconds()
+	}
+	return expected + held.failureShare(now)*failurePenalty.Seconds()
+}
+
+func (held *memory) failureShare(now time.Time) float64 {
+	if held.failures == 0 {
+		return 0
+	}
+	age := now.Sub(held.failedAt)
+	return held.failures * math.Exp2(-float64(age)/float64(failureHalfLife))
+}
+
+// Begin counts a call that is sent to a target.
+func (chooser *Chooser) Begin(target balsamproxy.TargetID, now time.Time) {
+	chooser.mutex.Lock()
+	defer chooser.mutex.Unlock()
+	chooser.memory(target, now).open++
+}
+
+// Outcome is how a call ended.
+type Outcome int
+
+// Outcomes of a call.
+const (
+	// Answered is a good answer.
+	Answered Outcome = iota
+	// Failed is an answer that says that the target failed.
+	Failed
+	// Lost is a call that got no answer.
+	Lost
+	// Refused is a call that was not let in.
+	Refused
+	// Dropped tells nothing of the target.
+	Dropped
+)
+
+// End notes how a call ended, how long it took, and the load that was told.
+func (chooser *Chooser) End(target balsamproxy.TargetID, kind balsamproxy.RouteID, outcome Outcome, took time.Duration, load balsamproxy.Load, now time.Time) {
+	chooser.mutex.Lock()
+	defer chooser.mutex.Unlock()
+	held := chooser.memory(target, now)
+	held.open--
+	if load.Limit > 0 {
+		held.wait = load.Wait
+		held.waitAt = now
+	}
+	switch outcome {
+	case Answered:
+		held.learn(kind, took)
+		held.fail(0, failurePart, now)
+	case Failed:
+		held.fail(1, failurePart, now)
+	case Lost:
+		held.fail(1, lossPart, now)
+	}
+}
+
+func (held *memory) learn(kind balsamproxy.RouteID, took time.Duration) {
+	before, found := held.latencies[kind]
+	if !found {
+		held.latencies[kind] = took
+		return
+	}
+	held.latencies[kind] = before + time.Duration(float64(took-before)*latencyPart)
+}
+
+func (held *memory) fail(failed, part float64, now time.Time) {
+	share := held.failureShare(now)
+	held.failures = share + (failed-share)*part
+	held.failedAt = now
+}
+
+// Wait returns the wait that a target told last, and how old that is.
+func (chooser *Chooser) Wait(target balsamproxy.TargetID, now time.Time) (time.Duration, time.Duration) {
+	chooser.mutex.Lock()
+	defer chooser.mutex.Unlock()
+	held, found := chooser.targets[target]
+	if !found {
+		return 0, forgetAfter
+	}
+	return held.wait, now.Sub(held.waitAt)
+}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -95,9 +95,7 @@
 	settings.checkTargetLoopback(&faults)
 	settings.checkStores(&faults)
 	settings.checkTLS(&faults)
-	if !slices.Contains(logLevels, settings.LogLevel) {
-		faults.Add("/log-level", "%q must be one of %v", settings.LogLevel, logLevels)
-	}
+	checkLogLevel(&faults, settings.LogLevel)
 	if settings.OperatorTokenDigest != "" && !digestPattern.MatchString(settings.OperatorTokenDigest) {
 		faults.Add("/operator-token-digest", "must be \"sha256:\" and 64 lower-case hex digits")
 	}
@@ -107,6 +105,12 @@
 	return faults
 }
 
+func checkLogLevel(faults *strictjson.Faults, level string) {
+	if !slices.Contains(logLevels, level) {
+		faults.Add("/log-level", "%q must be one of %v", level, logLevels)
+	}
+}
+
 func checkName(faults *strictjson.Faults, pointer, name string) {
 	if !hostNamePattern.MatchString(name) {
 		faults.Add(pointer, "%q is no name: 1 to 63 of a-z, 0-9 and inner hyphens", name)
--- a/core/strictjson/check.go
+++ b/core/strictjson/check.go
@@ -1,6 +1,7 @@
 package strictjson
 
 import (
+	"encoding"
 	"encoding/json"
 	"reflect"
 	"sort"
@@ -17,6 +18,10 @@
 }
 
 func (checker *checker) check(tree any, want reflect.Type, pointer string) {
+	if reflect.PointerTo(want).Implements(textType) {
+		checker.checkText(tree, want, pointer)
+		return
+	}
 	switch want.Kind() {
 	case reflect.Pointer:
 		checker.check(tree, want.Elem(), pointer)
@@ -91,6 +96,24 @@
 	}
 }
 
+// textType is implemented by types that read themselves from a string.
+var textType = reflect.TypeFor[encoding.TextUnmarshaler]()
+
+func (checker *checker) checkText(tree any, want reflect.Type, pointer string) {
+	text, ok := tree.(string)
+	if !ok {
+		checker.faults.Add(pointer, "must be a string")
+		return
+	}
+	reader, ok := reflect.New(want).Interface().(encoding.TextUnmarshaler)
+	if !ok {
+		return
+	}
+	if err := reader.UnmarshalText([]byte(text)); err != nil {
+		checker.faults.Add(pointer, "%q: %s", text, err.Error())
+	}
+}
+
 func (checker *checker) checkBool(tree any, pointer string) {
 	if _, ok := tree.(bool); !ok {
 		checker.faults.Add(pointer, "must be true or false")
--- /dev/null
+++ b/io/lending/spender.go
@@ -0,0 +1,178 @@
+// Package lending spends and lends the rate allowance of client accounts,
+// where each group of accounts has one home that holds its tenure in the
+// store.
+package lending
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"balsamproxy"
+	"balsamproxy/core/allowance"
+	"balsamproxy/core/config"
+	"balsamproxy/io/peer"
+)
+
+const (
+	// lendTimeout bounds the wait for one answer of a home.
+	lendTimeout = 300 * time.Millisecond
+	// homelessPause is the wait before a home is looked for again.
+	homelessPause = 50 * time.Millisecond
+	// homelessMax is the longest that a request waits for a home: about what
+	// a daemon takes to start again and take its tenure back.
+	homelessMax = 1200 * time.Millisecond
+	// homelessRetry is when a caller should come back if there was no home.
+	homelessRetry = 500 * time.Millisecond
+
+	kindLoan peer.Kind = "allowance-loan"
+)
+
+// Homes tells which daemon lends the allowance of a group of accounts.
+type Homes interface {
+	// Home returns the host that is home of a group.
+	Home(group allowance.Group) (balsamproxy.HostID, bool)
+	// Holds says whether this daemon is home of a group at an instant, and
+	// since when.
+	Holds(group allowance.Group, now balsamproxy.BootTime) (since balsamproxy.BootTime, holds bool)
+}
+
+// Spender spends allowance for requests on this host and lends what this host
+// is home of. Its exported fields must be set.
+type Spender struct {
+	Host    balsamproxy.HostID
+	Config  *config.Current
+	Homes   Homes
+	Pool    *peer.Pool
+	Clock   balsamproxy.BootClock
+	Metrics tally.Scope
+	Log     zerolog.Logger
+	Purse   allowance.Purse
+	// FreshUntil ends the time in which a tenure is the first one of a new
+	// fleet, so that no allowance can have been spent before.
+	FreshUntil balsamproxy.BootTime
+
+	lender allowance.Lender
+	mutex  sync.Mutex
+	opened map[balsamproxy.ClientAccountID]balsamproxy.BootTime
+}
+
+// instant turns a time since boot into one that the decisions take.
+func instant(now balsamproxy.BootTime) time.Time { return time.Unix(0, int64(now)) }
+
+// Spend takes one request off an account's allowance, or refuses it.
+func (spender *Spender) Spend(ctx context.Context, account balsamproxy.ClientAccountID) *balsamproxy.Refusal {
+	index := spender.Config.Index()
+	if index == nil || index.Unlimited(account) {
+		return nil
+	}
+	group := allowance.GroupOf(account)
+	waited := spender.Clock.Boot()
+	for {
+		now := spender.Clock.Boot()
+		if since, holds := spender.Homes.Holds(group, now); holds {
+			return spender.spendOwn(account, since, now)
+		}
+		if spender.Purse.Spend(account, instant(now)) {
+			return nil
+		}
+		if wait := spender.Purse.IsEmpty(account, instant(now)); wait > 0 {
+			return exceeded(wait)
+		}
+		refusal, asked := spender.borrow(ctx, account, group)
+		if asked {
+			return refusal
+		}
+		if now.Sub(waited) > homelessMax || !sleep(ctx, homelessPause) {
+			refusal := balsamproxy.NotRun(balsamproxy.ReasonNoAllowance, "no host holds the account's allowance")
+			refusal.Retry = homelessRetry
+			return refusal
+		}
+	}
+}
+
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func exceeded(wait time.Duration) *balsamproxy.Refusal {
+	refusal := balsamproxy.NotRun(balsamproxy.ReasonRateExceeded, "the client account is over its rate and burst")
+	refusal.Retry = max(wait, time.Millisecond)
+	return refusal
+}
+
+// share returns the whole of an account's limits and opens its bucket if the
+// tenure began after it was last opened.
+func (spender *Spender) share(account balsamproxy.ClientAccountID, since balsamproxy.BootTime) allowance.Share {
+	limits := spender.Config.Index().Limits(account)
+	share := allowance.ShareOf(limits.Rate, limits.Burst, 0, 1)
+	spender.mutex.Lock()
+	defer spender.mutex.Unlock()
+	if at, found := spender.opened[account]; found && at == since {
+		return share
+	}
+	if spender.opened == nil {
+		spender.opened = map[balsamproxy.ClientAccountID]balsamproxy.BootTime{}
+	}
+	spender.opened[account] = since
+	spender.lender.Open(account, share, since < spender.FreshUntil, instant(since))
+	return share
+}
+
+func (spender *Spender) spendOwn(account balsamproxy.ClientAccountID, since, now balsamproxy.BootTime) *balsamproxy.Refusal {
+	share := spender.share(account, since)
+	if spender.lender.Spend(account, share, instant(now)) {
+		return nil
+	}
+	return exceeded(spender.lender.Wait(account))
+}
+
+// borrow asks the home for a token. It says false if no home answered.
+func (spender *Spender) borrow(ctx context.Context, account balsamproxy.ClientAccountID, group allowance.Group) (*balsamproxy.Refusal, bool) {
+	home, known := spender.Homes.Home(group)
+	if !known || home == spender.Host {
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
+	defer cancel()
+	sentAt := instant(spender.Clock.Boot())
+	request := spender.Purse.Request(account, home, 1, sentAt)
+	answer, err := peer.Ask[allowance.LoanRequest, allowance.LoanAnswer](ctx, spender.Pool, home, kindLoan, request)
+	if err != nil {
+		spender.Metrics.Counter("allowance_loans_failed").Inc(1)
+		return nil, false
+	}
+	spender.Metrics.Counter("allowance_loans").Inc(1)
+	now := instant(spender.Clock.Boot())
+	if spender.Purse.Take(account, home, answer, sentAt, now, 1) == 1 {
+		return nil, true
+	}
+	spender.Purse.Empty(account, answer.Wait, now)
+	return exceeded(answer.Wait), true
+}
+
+var errNotHome = errors.New("lending: not home of this account")
+
+// Serve lends to other daemons.
+func (spender *Spender) Serve(server *peer.Server) {
+	peer.Answer(server, kindLoan, func(_ context.Context, _ balsamproxy.HostID, request allowance.LoanRequest) (allowance.LoanAnswer, error) {
+		now := spender.Clock.Boot()
+		since, holds := spender.Homes.Holds(allowance.GroupOf(request.Account), now)
+		if !holds || spender.Config.Index() == nil {
+			return allowance.LoanAnswer{}, errNotHome
+		}
+		share := spender.share(request.Account, since)
+		return spender.lender.Lend(request, share, instant(now)), nil
+	})
+}
--- /dev/null
+++ b/io/mesh/daemon.go
@@ -0,0 +1,344 @@
+// Package mesh runs the daemon of one host on the platform: it wires the way
+// of a request, the records in the store and the links to other daemons.
+package mesh
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"balsamproxy"
+	"balsamproxy/core/allowance"
+	"balsamproxy/core/budget"
+	"balsamproxy/core/config"
+	"balsamproxy/core/evidence"
+	"balsamproxy/core/membership"
+	"balsamproxy/core/placing"
+	"balsamproxy/core/settings"
+	"balsamproxy/io/entry"
+	"balsamproxy/io/events"
+	"balsamproxy/io/fleet"
+	"balsamproxy/io/http1"
+	"balsamproxy/io/lending"
+	"balsamproxy/io/peer"
+	"balsamproxy/io/registry"
+	"balsamproxy/io/target"
+)
+
+const (
+	metricsInterval = time.Second
+	// freshTime is how long after its first start a fleet may lend whole
+	// bursts.
+	freshTime = 6 * time.Second
+	// memoryParts and memoryDivisor give the part of the memory at which the
+	// runtime collects garbage more often.
+	memoryParts   = 7
+	memoryDivisor = 10
+	// repeatPart is the part of the fleet's ratio of repeats that is spent
+	// on repeats of whole requests; the rest is left for their calls.
+	repeatPart = 0.5
+	// slackPart is the part of the fleet's slack that daemons may save up.
+	slackPart = 0.5
+)
+
+// Platform is what the daemon is told of the platform that it runs on.
+type Platform struct {
+	Store   registry.Store
+	Dialect balsamproxy.Dialect
+	// ConfigKey is where the configuration stands, and Decode reads it.
+	ConfigKey balsamproxy.StoreKey
+	Decode    Decode
+	// Announcements returns the handler of targets' announcements.
+	Announcements func(target *target.Local) http.Handler
+	// ReadyPath is where the platform asks whether the daemon is ready.
+	ReadyPath string
+}
+
+// Daemon is one daemon. New returns one that is ready to run.
+type Daemon struct {
+	settings    settings.Mesh
+	platform    Platform
+	log         zerolog.Logger
+	metrics     tally.Scope
+	closer      interface{ Close() error }
+	handler     http.Handler
+	incarnation string
+	clock       balsamproxy.SystemClock
+
+	current   config.Current
+	evidence  evidence.Evidence
+	table     membership.Table
+	budget    budget.Budget
+	view      *view
+	local     *target.Local
+	links     *peer.Server
+	pool      *peer.Pool
+	registry  *registry.Registry
+	spender   *lending.Spender
+	documents *documents
+	callers   *http1.Server
+
+	service  atomic.Pointer[balsamproxy.ServiceID]
+	leaving  atomic.Bool
+	wakeDial chan struct{}
+	fetches  chan balsamproxy.HostID
+}
+
+// NewMetrics returns a scope with the handler that serves it.
+func NewMetrics(log zerolog.Logger) (tally.Scope, interface{ Close() error }, http.Handler) {
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+		OnRegisterError: func(err error) {
+			log.Error().Str("event", "metric-not-registered").Err(err).Send()
+		},
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "balsamproxy",
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+	}, metricsInterval)
+	return scope, closer, reporter.HTTPHandler()
+}
+
+// New returns a daemon with checked settings.
+func New(settings settings.Mesh, log zerolog.Logger, platform func(tally.Scope) Platform) *Daemon {
+	daemon := &Daemon{
+		settings:    settings,
+		log:         log,
+		incarnation: string(fleet.IDs{}.NewSpan()),
+		wakeDial:    make(chan struct{}, 1),
+		fetches:     make(chan balsamproxy.HostID, 1),
+	}
+	daemon.metrics, daemon.closer, daemon.handler = NewMetrics(log)
+	daemon.platform = platform(daemon.metrics)
+	daemon.service.Store(&settings.Service)
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(settings.Memory) << 20 * memoryParts / memoryDivisor)
+	}
+	daemon.evidence.Limit = evidence.LimitFor(time.Duration(settings.WithdrawalBound))
+	daemon.budget.Ratio = settings.RepeatRatio * repeatPart
+	daemon.budget.SetMost(settings.RepeatSlack * slackPart)
+	daemon.view = newView(settings.Host, &daemon.table, log, time.Now)
+	daemon.wirePeers()
+	daemon.wireStore()
+	daemon.wireWay()
+	return daemon
+}
+
+func (daemon *Daemon) wirePeers() {
+	daemon.local = &target.Local{
+		Clock:   daemon.clock,
+		Dialect: daemon.platform.Dialect,
+		Changed: daemon.announce,
+		Log:     daemon.log,
+		Metrics: daemon.metrics,
+	}
+	daemon.links = &peer.Server{Carrier: daemon.local, Status: daemon.status, Greeted: daemon.greeted}
+	daemon.pool = &peer.Pool{
+		Host:      daemon.settings.Host,
+		Directory: daemon.view,
+		Greeting:  daemon.status,
+		Learned:   daemon.learned,
+		Lost:      daemon.lost,
+		Metrics:   daemon.metrics,
+	}
+}
+
+func (daemon *Daemon) wireStore() {
+	daemon.registry = &registry.Registry{
+		Store:       daemon.platform.Store,
+		Prefix:      balsamproxy.StoreKey(daemon.settings.StorePrefix),
+		Host:        daemon.settings.Host,
+		Incarnation: daemon.incarnation,
+		Clock:       daemon.clock,
+		Record: func() balsamproxy.Member {
+			return balsamproxy.Member{
+				Host:        daemon.settings.Host,
+				DataCentre:  daemon.settings.DataCentre,
+				PeerAddress: daemon.settings.PeerAddress,
+				Incarnation: daemon.incarnation,
+			}
+		},
+		Present: daemon.view.present,
+		Listed: func(members []balsamproxy.Member) {
+			daemon.view.list(members)
+			daemon.budget.SetMost(max(1, daemon.settings.RepeatSlack*slackPart/float64(max(len(members), 1))))
+			daemon.dialSoon()
+		},
+		HomesChanged: daemon.announce,
+		Log:          daemon.log,
+	}
+	daemon.documents = &documents{
+		store:    daemon.platform.Store,
+		reader:   daemon.platform.Store,
+		key:      daemon.platform.ConfigKey,
+		decode:   daemon.platform.Decode,
+		current:  &daemon.current,
+		evidence: &daemon.evidence,
+		clock:    daemon.clock,
+		changed:  daemon.announce,
+		log:      daemon.log,
+	}
+	daemon.documents.serve(daemon.links)
+	daemon.spender = &lending.Spender{
+		Host:    daemon.settings.Host,
+		Config:  &daemon.current,
+		Homes:   homes{daemon: daemon},
+		Pool:    daemon.pool,
+		Clock:   daemon.clock,
+		Metrics: daemon.metrics,
+		Log:     daemon.log,
+	}
+	daemon.spender.Purse.Borrower = allowance.Borrower{Host: daemon.settings.Host, Incarnation: daemon.incarnation}
+	if daemon.settings.FirstStart {
+		daemon.spender.FreshUntil = daemon.clock.Boot() + balsamproxy.BootTime(freshTime)
+	}
+	daemon.spender.Serve(daemon.links)
+}
+
+// homes finds the homes of accounts in the view and in the store.
+type homes struct {
+	daemon *Daemon
+}
+
+// Home returns the host that is home of a group.
+func (homes homes) Home(group allowance.Group) (balsamproxy.HostID, bool) {
+	if host, found := homes.daemon.view.home(group); found {
+		return host, true
+	}
+	return homes.daemon.registry.Recorded(group)
+}
+
+// Holds says whether this daemon is home of a group.
+func (homes homes) Holds(group allowance.Group, now balsamproxy.BootTime) (balsamproxy.BootTime, bool) {
+	return homes.daemon.registry.Holds(group, now)
+}
+
+func (daemon *Daemon) wireWay() {
+	way := &entry.Entry{
+		Host:      daemon.settings.Host,
+		Service:   func() balsamproxy.ServiceID { return *daemon.service.Load() },
+		Dialect:   daemon.platform.Dialect,
+		Config:    &daemon.current,
+		Evidence:  &daemon.evidence,
+		Allowance: daemon.spender,
+		Members:   &daemon.table,
+		Chooser:   &placing.Chooser{DataCentre: daemon.settings.DataCentre},
+		Split:     &placing.Split{},
+		Budget:    &daemon.budget,
+		Local:     daemon.local,
+		Remote:    daemon.pool,
+		Clock:     daemon.clock,
+		Boot:      daemon.clock,
+		Random:    rand.Float64,
+		Events:    &events.Log{Logger: daemon.log, Now: time.Now},
+		Metrics:   daemon.metrics,
+	}
+	daemon.callers = &http1.Server{Handler: way}
+}
+
+// status is what peers are told of this daemon.
+func (daemon *Daemon) status() balsamproxy.Status {
+	return balsamproxy.Status{
+		Host:        daemon.settings.Host,
+		DataCentre:  daemon.settings.DataCentre,
+		Incarnation: daemon.incarnation,
+		PeerAddress: daemon.settings.PeerAddress,
+		Leaving:     daemon.leaving.Load(),
+		Targets:     daemon.local.Targets(),
+		Config:      daemon.documents.version(),
+		Homes:       daemon.registry.Held(),
+	}
+}
+
+// announce tells this daemon's own table and all peers what has changed.
+func (daemon *Daemon) announce() {
+	daemon.view.own(daemon.status())
+	daemon.links.Announce()
+}
+
+func (daemon *Daemon) greeted(status balsamproxy.Status) {
+	daemon.view.greet(status)
+	daemon.dialSoon()
+}
+
+func (daemon *Daemon) learned(status balsamproxy.Status) {
+	daemon.view.learn(status)
+	if len(status.Homes) == 0 {
+		daemon.registry.Released(status.Host)
+	}
+	if status.Config > daemon.documents.version() {
+		select {
+		case daemon.fetches <- status.Host:
+		default:
+		}
+	}
+}
+
+func (daemon *Daemon) lost(host balsamproxy.HostID) {
+	daemon.view.lose(host)
+	daemon.dialSoon()
+}
+
+func (daemon *Daemon) dialSoon() {
+	select {
+	case daemon.wakeDial <- struct{}{}:
+	default:
+	}
+}
+
+// ready says whether callers may send work, or why not.
+func (daemon *Daemon) ready() (bool, string) {
+	switch {
+	case daemon.leaving.Load():
+		return false, "shutting down"
+	case daemon.current.Index() == nil:
+		return false, "no configuration yet"
+	}
+	return true, ""
+}
+
+func (daemon *Daemon) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+daemon.platform.ReadyPath, func(writer http.ResponseWriter, _ *http.Request) {
+		if ready, why := daemon.ready(); !ready {
+			http.Error(writer, why, http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func (daemon *Daemon) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", daemon.handler)
+	return mux
+}
+
+// listen opens a socket for each address.
+func listen(addresses ...string) ([]net.Listener, error) {
+	var opened []net.Listener
+	for _, address := range addresses {
+		socket, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+		if err != nil {
+			for _, other := range opened {
+				err = errors.Join(err, other.Close())
+			}
+			return nil, eris.Wrap(err, "mesh: cannot listen")
+		}
+		opened = append(opened, socket)
+	}
+	return opened, nil
+}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -23,7 +23,9 @@
 	*link
 	next    atomic.Uint64
 	leaving atomic.Bool
-	heard   atomic.Int64
+	// learned is told what the peer says of itself; it may be nil.
+	learned func(balsamproxy.Status)
+	heard     atomic.Int64
 	// silences counts the probe intervals without a word from the peer.
 	silences int
 }
@@ -76,6 +78,12 @@
 
 func (client *clientLink) receive(frame *frame) error {
 	client.hear()
+	if frame.Status != nil {
+		if client.learned != nil {
+			client.learned(*frame.Status)
+		}
+		return nil
+	}
 	if frame.Leaving {
 		client.leaving.Store(true)
 		return nil
--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -35,6 +35,8 @@
 	Question *question `cbor:"10,keyasint,omitempty"`
 	// Reply answers a question.
 	Reply *reply `cbor:"11,keyasint,omitempty"`
+	// Status tells what the sender is; it names no stream.
+	Status *balsamproxy.Status `cbor:"12,keyasint,omitempty"`
 }
 
 // Kind tells questions between daemons apart.
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -5,14 +5,17 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/gorilla/websocket"
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sys/unix"
 
 	"balsamproxy"
 	"balsamproxy/task"
@@ -45,6 +48,13 @@
 	Directory balsamproxy.MemberFinder
 	// TLS returns the configuration for a host; nil means plain links.
 	TLS func(host balsamproxy.HostID) *tls.Config
+	// Greeting returns what a dialled peer is told of this daemon; nil tells
+	// nothing.
+	Greeting func() balsamproxy.Status
+	// Learned is told what a dialled peer says of itself; Lost is told when
+	// the link to it has ended. Both may be nil.
+	Learned func(balsamproxy.Status)
+	Lost    func(host balsamproxy.HostID)
 	// Metrics counts links; nil counts nothing.
 	Metrics tally.Scope
 
@@ -153,17 +163,44 @@
 		return nil, eris.Wrap(ErrUnreachable, err.Error())
 	}
 	client := newClientLink(newLink(conn))
+	client.learned = func(status balsamproxy.Status) {
+		if status.Host != member.Host {
+			// Another daemon has the address now.
+			_ = conn.Close()
+			return
+		}
+		if pool.Learned != nil {
+			pool.Learned(status)
+		}
+	}
+	if pool.Greeting != nil {
+		greeting := pool.Greeting()
+		if err := client.send(&frame{Status: &greeting}); err != nil {
+			return nil, err
+		}
+	}
 	pool.count("links_opened")
-	pool.running.Start(running, client.run, func(error) { pool.count("links_ended") })
+	pool.running.Start(running, client.run, func(error) {
+		pool.count("links_ended")
+		if pool.Lost != nil {
+			pool.Lost(member.Host)
+		}
+	})
 	return client, nil
 }
 
+// Dial opens a link to a host unless there is one.
+func (pool *Pool) Dial(ctx context.Context, host balsamproxy.HostID) error {
+	_, err := pool.link(ctx, host)
+	return err
+}
+
 func (pool *Pool) connect(ctx context.Context, member balsamproxy.Member) (*websocket.Conn, error) {
 	dialer := websocket.Dialer{
 		HandshakeTimeout: dialTimeout,
 		ReadBufferSize:   bufferBytes,
 		WriteBufferSize:  bufferBytes,
-		NetDialContext:   (&net.Dialer{}).DialContext,
+		NetDialContext:   (&net.Dialer{Control: boundUnacknowledged}).DialContext,
 	}
 	scheme := "ws"
 	if pool.TLS != nil {
@@ -178,6 +215,18 @@
 	return conn, err
 }
 
+// unacknowledgedMax is how long sent bytes may stay unacknowledged before a
+// link ends, in milliseconds: a host without power answers nothing.
+const unacknowledgedMax = 2000
+
+func boundUnacknowledged(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(descriptor uintptr) {
+		failed = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, unacknowledgedMax)
+	})
+	return errors.Join(err, failed)
+}
+
 func (pool *Pool) count(name string) {
 	if pool.Metrics != nil {
 		pool.Metrics.Counter(name).Inc(1)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -17,7 +17,12 @@
 // Carrier must be set.
 type Server struct {
 	// Carrier brings calls to the targets of this host.
-	Carrier  balsamproxy.Carrier
+	Carrier balsamproxy.Carrier
+	// Status returns what peers are told of this daemon; nil tells nothing.
+	Status func() balsamproxy.Status
+	// Greeted is told what a dialling daemon says of itself; it may be nil.
+	Greeted func(balsamproxy.Status)
+
 	mutex    sync.Mutex
 	links    map[*serverLink]struct{}
 	refusing bool
@@ -76,6 +81,10 @@
 		server.links = map[*serverLink]struct{}{}
 	}
 	server.links[link] = struct{}{}
+	if server.Status != nil {
+		status := server.Status()
+		_ = link.send(&frame{Status: &status})
+	}
 	if server.leaving {
 		_ = link.send(&frame{Leaving: true})
 	}
@@ -97,6 +106,16 @@
 	}
 }
 
+// Announce tells all peers what this daemon is now.
+func (server *Server) Announce() {
+	status := server.Status()
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for link := range server.links {
+		_ = link.send(&frame{Status: &status})
+	}
+}
+
 // Refuse refuses new calls from now on. It returns a channel that closes when
 // the calls under way have ended.
 func (server *Server) Refuse() <-chan struct{} {
@@ -127,6 +146,12 @@
 }
 
 func (link *serverLink) receive(ctx context.Context, frame *frame) error {
+	if frame.Status != nil {
+		if link.server.Greeted != nil {
+			link.server.Greeted(*frame.Status)
+		}
+		return nil
+	}
 	if frame.Call != nil {
 		link.receiveCall(ctx, frame)
 		return nil
--- /dev/null
+++ b/io/registry/list.go
@@ -0,0 +1,290 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"balsamproxy"
+	"balsamproxy/core/allowance"
+	"balsamproxy/core/homes"
+)
+
+// RunLists reads all records again and again until ctx ends.
+func (registry *Registry) RunLists(ctx context.Context) error {
+	for {
+		wait := listInterval
+		if err := registry.list(ctx); err != nil {
+			registry.Log.Debug().Str("event", "list-failed").Err(err).Send()
+			wait = urgentInterval
+		} else if registry.urgent() {
+			wait = urgentInterval
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
+
+// list reads all records, the first time as they stand, later as they were
+// some seconds ago.
+func (registry *Registry) list(ctx context.Context) error {
+	read := registry.Store.StaleRange
+	if !registry.Ready() || registry.urgent() {
+		read = registry.Store.Range
+	}
+	snapshot, err := read(ctx, registry.Prefix)
+	if err != nil {
+		return err
+	}
+	members := map[balsamproxy.HostID]balsamproxy.Member{}
+	tenures := map[allowance.Group]tenure{}
+	for _, entry := range snapshot.Entries {
+		if err := registry.sort(entry, members, tenures); err != nil {
+			registry.Log.Error().Str("event", "record-invalid").Str("key", string(entry.Key)).Err(err).Send()
+		}
+	}
+	registry.Listed(registry.take(members, tenures))
+	return nil
+}
+
+var errNoRecord = errors.New("registry: not a record of this kind")
+
+func (registry *Registry) sort(
+	entry balsamproxy.StoreEntry,
+	members map[balsamproxy.HostID]balsamproxy.Member,
+	tenures map[allowance.Group]tenure,
+) error {
+	switch {
+	case strings.HasPrefix(string(entry.Key), string(registry.hostsPrefix())):
+		var member balsamproxy.Member
+		if err := json.Unmarshal(entry.Value, &member); err != nil {
+			return err
+		}
+		if member.Host != hostOf(entry.Key, registry.hostsPrefix()) || member.PeerAddress == "" {
+			return errNoRecord
+		}
+		members[member.Host] = member
+	case strings.HasPrefix(string(entry.Key), string(registry.homesPrefix())):
+		group, err := strconv.Atoi(strings.TrimPrefix(string(entry.Key), string(registry.homesPrefix())))
+		if err != nil {
+			return err
+		}
+		found := tenure{revision: entry.Revision}
+		if err := json.Unmarshal(entry.Value, &found.Tenure); err != nil {
+			return err
+		}
+		tenures[allowance.Group(group)] = found
+	}
+	return nil
+}
+
+// take keeps what was read. A host that is missing for the first time is
+// kept: its record may have lapsed while the store was away.
+func (registry *Registry) take(members map[balsamproxy.HostID]balsamproxy.Member, tenures map[allowance.Group]tenure) []balsamproxy.Member {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	missed := map[balsamproxy.HostID]int{}
+	for host, member := range registry.members {
+		if _, found := members[host]; found {
+			continue
+		}
+		if missed[host] = registry.missed[host] + 1; missed[host] <= missedMax {
+			members[host] = member
+		}
+	}
+	registry.members = members
+	registry.missed = missed
+	registry.tenures = tenures
+	if len(tenures) == allowance.Groups || !registry.listed {
+		registry.freeSince = registry.Clock.Boot()
+	}
+	registry.listed = true
+	list := make([]balsamproxy.Member, 0, len(members))
+	for _, member := range members {
+		list = append(list, member)
+	}
+	return list
+}
+
+// Ready says whether the records have been read once.
+func (registry *Registry) Ready() bool {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return registry.listed
+}
+
+// urgent says whether this daemon should look often, since it is the one that
+// should take a tenure as soon as it is free.
+func (registry *Registry) urgent() bool {
+	present := registry.Present()
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	if registry.leaving || !registry.listed {
+		return false
+	}
+	for group := range allowance.Group(allowance.Groups) {
+		if _, holds := registry.held[group]; holds {
+			continue
+		}
+		found, stands := registry.tenures[group]
+		switch {
+		case !stands && homes.Rank(group, registry.Host, present) <= 1:
+			return true
+		case stands && homes.Successor(group, registry.Host, found.Host, present):
+			return true
+		}
+	}
+	return false
+}
+
+// takeTenures takes the tenures whose turn it is to be taken by this daemon.
+func (registry *Registry) takeTenures(ctx context.Context) error {
+	present := registry.Present()
+	for group := range allowance.Group(allowance.Groups) {
+		swap, due := registry.dueSwap(group, present)
+		if !due {
+			continue
+		}
+		revision, err := registry.Store.Swap(ctx, swap)
+		if errors.Is(err, balsamproxy.ErrStoreConflict) {
+			registry.forget(group)
+			continue
+		}
+		if errors.Is(err, balsamproxy.ErrStoreLeaseLost) {
+			registry.loseLease(err)
+		}
+		if err != nil {
+			return err
+		}
+		registry.hold(group, revision)
+	}
+	return nil
+}
+
+func (registry *Registry) dueSwap(group allowance.Group, present []balsamproxy.HostID) (balsamproxy.StoreSwap, bool) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	if _, holds := registry.held[group]; holds || registry.leaving || !registry.listed || registry.lease == 0 {
+		return balsamproxy.StoreSwap{}, false
+	}
+	candidate := homes.Candidate{
+		Host:        registry.Host,
+		Incarnation: registry.Incarnation,
+		Present:     present,
+		Free:        registry.Clock.Boot().Sub(registry.freeSince),
+	}
+	found, stands := registry.tenures[group]
+	if stands {
+		candidate.Tenure = &found.Tenure
+	}
+	if !homes.Takes(group, candidate) {
+		return balsamproxy.StoreSwap{}, false
+	}
+	value, err := json.Marshal(homes.Tenure{Host: registry.Host, Incarnation: registry.Incarnation})
+	if err != nil {
+		return balsamproxy.StoreSwap{}, false
+	}
+	return balsamproxy.StoreSwap{
+		Key: registry.homeKey(group), Value: value, Expected: found.revision, Lease: registry.lease,
+	}, true
+}
+
+// forget lets a tenure that another daemon took be read anew first.
+func (registry *Registry) forget(group allowance.Group) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	if registry.tenures == nil {
+		registry.tenures = map[allowance.Group]tenure{}
+	}
+	registry.tenures[group] = tenure{Tenure: homes.Tenure{Host: "(not read yet)"}}
+}
+
+func (registry *Registry) hold(group allowance.Group, revision balsamproxy.Revision) {
+	now := registry.Clock.Boot()
+	registry.mutex.Lock()
+	if registry.held == nil {
+		registry.held = map[allowance.Group]balsamproxy.BootTime{}
+	}
+	registry.held[group] = now
+	if registry.tenures == nil {
+		registry.tenures = map[allowance.Group]tenure{}
+	}
+	own := homes.Tenure{Host: registry.Host, Incarnation: registry.Incarnation}
+	registry.tenures[group] = tenure{Tenure: own, revision: revision}
+	registry.mutex.Unlock()
+	registry.Log.Info().Str("event", "tenure-taken").Int("group", int(group)).Int64("revision", int64(revision)).Send()
+	registry.HomesChanged()
+}
+
+// Released lets this daemon know that another one has given a tenure up.
+func (registry *Registry) Released(host balsamproxy.HostID) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	for group, found := range registry.tenures {
+		if found.Host == host {
+			delete(registry.tenures, group)
+			registry.freeSince = registry.Clock.Boot()
+		}
+	}
+}
+
+// Holds says whether this daemon is home of a group at an instant, and since
+// when.
+func (registry *Registry) Holds(group allowance.Group, now balsamproxy.BootTime) (balsamproxy.BootTime, bool) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	since, holds := registry.held[group]
+	if !holds || now.Sub(registry.renewedAt) >= leaseTime-leaseMargin {
+		return 0, false
+	}
+	return since, true
+}
+
+// Held returns the groups that this daemon holds.
+func (registry *Registry) Held() []int {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	groups := []int{}
+	for group := range allowance.Group(allowance.Groups) {
+		if _, holds := registry.held[group]; holds {
+			groups = append(groups, int(group))
+		}
+	}
+	return groups
+}
+
+// Recorded returns the host that the store showed as home of a group.
+func (registry *Registry) Recorded(group allowance.Group) (balsamproxy.HostID, bool) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	found, stands := registry.tenures[group]
+	return found.Host, stands
+}
+
+// Member returns the record of a host.
+func (registry *Registry) Member(host balsamproxy.HostID) (balsamproxy.Member, bool) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	member, found := registry.members[host]
+	return member, found
+}
+
+// Left reads which targets of this host have left.
+func (registry *Registry) Left(ctx context.Context) (map[balsamproxy.TargetID]int64, error) {
+	entry, err := registry.Store.Get(ctx, registry.leftKey())
+	if errors.Is(err, balsamproxy.ErrStoreNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return registry.takeLeft(entry)
+}
--- /dev/null
+++ b/io/registry/registry.go
@@ -0,0 +1,279 @@
+// Package registry keeps this daemon's records in the platform's store, with
+// the tenures that it holds, and reads those of others.
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"balsamproxy"
+	"balsamproxy/core/allowance"
+	"balsamproxy/core/homes"
+)
+
+const (
+	// leaseTime is the time to live of the records. A store that is away for
+	// a moment must not end them, and a home that is gone for good is replaced
+	// after it.
+	leaseTime = 4 * time.Second
+	// leaseMargin is how much earlier a daemon takes its own lease for ended.
+	leaseMargin = 300 * time.Millisecond
+	// renewInterval leaves two tries before a lease ends.
+	renewInterval = 1200 * time.Millisecond
+	// listInterval is the time between two reads of all records.
+	listInterval = 2 * time.Second
+	// urgentInterval is the time between two reads while a record is missing.
+	urgentInterval = 400 * time.Millisecond
+	stepInterval   = 100 * time.Millisecond
+	// missedMax is how many lists in a row a host may be missing from before
+	// it is taken for gone.
+	missedMax = 2
+	// leftTime is how long the store remembers the targets of a host that
+	// have left: longer than a target that leaves goes on serving.
+	leftTime    = 60 * time.Second
+	leftTimeout = 400 * time.Millisecond
+)
+
+// Store is what the registry needs of the platform's store.
+type Store interface {
+	balsamproxy.Store
+	balsamproxy.StoreFollower
+}
+
+// Registry keeps the records of one daemon. Its exported fields must be set.
+type Registry struct {
+	Store  Store
+	Prefix balsamproxy.StoreKey
+	Host   balsamproxy.HostID
+	// Incarnation names this run of the daemon.
+	Incarnation string
+	Clock       balsamproxy.BootClock
+	// Record returns what the daemon publishes of itself.
+	Record func() balsamproxy.Member
+	// Present returns the hosts that can be reached now, this one included.
+	Present func() []balsamproxy.HostID
+	// Listed is told all records after each reading.
+	Listed func([]balsamproxy.Member)
+	// HomesChanged is called when this daemon took or lost a tenure.
+	HomesChanged func()
+	Log          zerolog.Logger
+
+	mutex sync.Mutex
+	// lease and what follows describe the own records.
+	lease     balsamproxy.LeaseID
+	renewedAt balsamproxy.BootTime
+	published balsamproxy.Revision
+	held      map[allowance.Group]balsamproxy.BootTime
+	leaving   bool
+	// tenures are the tenures that the store showed last.
+	tenures   map[allowance.Group]tenure
+	members   map[balsamproxy.HostID]balsamproxy.Member
+	missed    map[balsamproxy.HostID]int
+	freeSince balsamproxy.BootTime
+	listed    bool
+	// reached tells whether the last call reached the store.
+	reached bool
+}
+
+type tenure struct {
+	homes.Tenure
+	revision balsamproxy.Revision
+}
+
+func (registry *Registry) hostKey() balsamproxy.StoreKey {
+	return registry.hostsPrefix() + balsamproxy.StoreKey(registry.Host)
+}
+
+func (registry *Registry) hostsPrefix() balsamproxy.StoreKey { return registry.Prefix + "hosts/" }
+
+func (registry *Registry) homesPrefix() balsamproxy.StoreKey { return registry.Prefix + "homes/" }
+
+func (registry *Registry) leftKey() balsamproxy.StoreKey {
+	return registry.Prefix + "left/" + balsamproxy.StoreKey(registry.Host)
+}
+
+func (registry *Registry) homeKey(group allowance.Group) balsamproxy.StoreKey {
+	return registry.homesPrefix() + balsamproxy.StoreKey(strconv.Itoa(int(group)))
+}
+
+// Run keeps the records until ctx ends.
+func (registry *Registry) Run(ctx context.Context) error {
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	for {
+		registry.step(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (registry *Registry) step(ctx context.Context) {
+	err := registry.keepLease(ctx)
+	if err == nil {
+		err = registry.publish(ctx)
+	}
+	if err == nil {
+		err = registry.takeTenures(ctx)
+	}
+	registry.note(err)
+}
+
+// note logs when the store is lost or regained.
+func (registry *Registry) note(err error) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	reached := err == nil
+	if reached == registry.reached {
+		return
+	}
+	registry.reached = reached
+	if reached {
+		registry.Log.Info().Str("event", "dependency-regained").Str("dependency", "store").Send()
+		return
+	}
+	registry.Log.Warn().Str("event", "dependency-lost").Str("dependency", "store").Err(err).Send()
+}
+
+// keepLease grants or renews the lease.
+func (registry *Registry) keepLease(ctx context.Context) error {
+	began := registry.Clock.Boot()
+	registry.mutex.Lock()
+	lease, renewedAt, leaving := registry.lease, registry.renewedAt, registry.leaving
+	registry.mutex.Unlock()
+	if leaving || (lease != 0 && began.Sub(renewedAt) < renewInterval) {
+		return nil
+	}
+	if lease == 0 {
+		granted, err := registry.Store.Grant(ctx, leaseTime)
+		if err != nil {
+			return err
+		}
+		registry.setLease(granted, began)
+		return nil
+	}
+	err := registry.Store.KeepAlive(ctx, lease)
+	switch {
+	case err == nil:
+		registry.setLease(lease, began)
+	case errors.Is(err, balsamproxy.ErrStoreLeaseLost):
+		registry.loseLease(err)
+	}
+	return err
+}
+
+func (registry *Registry) setLease(lease balsamproxy.LeaseID, began balsamproxy.BootTime) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	registry.lease = lease
+	registry.renewedAt = began
+}
+
+// loseLease gives up all that hung on a lease that has ended.
+func (registry *Registry) loseLease(cause error) {
+	registry.mutex.Lock()
+	registry.lease = 0
+	registry.published = 0
+	registry.held = nil
+	registry.mutex.Unlock()
+	registry.Log.Warn().Str("event", "lease-lost").Err(cause).Send()
+	registry.HomesChanged()
+}
+
+// publish writes the own record under the lease.
+func (registry *Registry) publish(ctx context.Context) error {
+	registry.mutex.Lock()
+	lease, published, leaving := registry.lease, registry.published, registry.leaving
+	registry.mutex.Unlock()
+	if lease == 0 || published != 0 || leaving {
+		return nil
+	}
+	value, err := json.Marshal(registry.Record())
+	if err != nil {
+		return err
+	}
+	revision, err := registry.replace(ctx, balsamproxy.StoreSwap{Key: registry.hostKey(), Value: value, Lease: lease})
+	if errors.Is(err, balsamproxy.ErrStoreLeaseLost) {
+		registry.loseLease(err)
+	}
+	if err != nil {
+		return err
+	}
+	registry.mutex.Lock()
+	registry.published = revision
+	registry.mutex.Unlock()
+	return nil
+}
+
+// replace writes a key that only this host writes, whatever stands there.
+func (registry *Registry) replace(ctx context.Context, swap balsamproxy.StoreSwap) (balsamproxy.Revision, error) {
+	revision, err := registry.Store.Swap(ctx, swap)
+	if !errors.Is(err, balsamproxy.ErrStoreConflict) {
+		return revision, err
+	}
+	standing, err := registry.Store.Get(ctx, swap.Key)
+	if err != nil && !errors.Is(err, balsamproxy.ErrStoreNotFound) {
+		return 0, err
+	}
+	swap.Expected = standing.Revision
+	return registry.Store.Swap(ctx, swap)
+}
+
+// Leave ends the tenures at once, so that others can take them.
+func (registry *Registry) Leave(ctx context.Context) {
+	registry.mutex.Lock()
+	lease := registry.lease
+	registry.leaving = true
+	registry.held = nil
+	registry.lease = 0
+	registry.mutex.Unlock()
+	registry.HomesChanged()
+	if lease == 0 {
+		return
+	}
+	if err := registry.Store.Revoke(ctx, lease); err != nil {
+		registry.Log.Warn().Str("event", "lease-not-revoked").Err(err).Send()
+	}
+}
+
+// left is the record of the targets of a host that have left.
+type left struct {
+	Targets map[balsamproxy.TargetID]int64 `json:"targets"`
+}
+
+// RecordLeft writes down which targets have left, so that a daemon that starts
+// again gives them no work.
+func (registry *Registry) RecordLeft(ctx context.Context, targets map[balsamproxy.TargetID]int64) error {
+	ctx, cancel := context.WithTimeout(ctx, leftTimeout)
+	defer cancel()
+	lease, err := registry.Store.Grant(ctx, leftTime)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(left{Targets: targets})
+	if err != nil {
+		return err
+	}
+	_, err = registry.replace(ctx, balsamproxy.StoreSwap{Key: registry.leftKey(), Value: value, Lease: lease})
+	return err
+}
+
+// takeLeft reads what an earlier run wrote down.
+func (registry *Registry) takeLeft(entry balsamproxy.StoreEntry) (map[balsamproxy.TargetID]int64, error) {
+	var record left
+	err := json.Unmarshal(entry.Value, &record)
+	return record.Targets, err
+}
+
+func hostOf(key, prefix balsamproxy.StoreKey) balsamproxy.HostID {
+	return balsamproxy.HostID(strings.TrimPrefix(string(key), string(prefix)))
+}
--- a/io/target/connections.go
+++ b/io/target/connections.go
@@ -37,11 +37,27 @@
 
 // take returns an open connection, or dials one.
 func (connections *connections) take(ctx context.Context, address string, now time.Time) (*connection, error) {
+	return connections.takeFresh(ctx, address, now, idleTimeout)
+}
+
+// takeFresh returns an open connection that was used less than a time ago, or
+// dials one.
+func (connections *connections) takeFresh(
+	ctx context.Context,
+	address string,
+	now time.Time,
+	idleMax time.Duration,
+) (*connection, error) {
 	for {
 		kept := connections.pop(address)
 		if kept == nil {
 			return dial(ctx, address)
 		}
+		if now.Sub(kept.usedAt) >= idleMax && idleMax < idleTimeout {
+			// Others may still use it; all older ones are further below.
+			connections.put(kept)
+			return dial(ctx, address)
+		}
 		if now.Sub(kept.usedAt) < idleTimeout && kept.open() {
 			return kept, nil
 		}
@@ -97,12 +113,16 @@
 
 // keep gives a connection back for further requests.
 func (connections *connections) keep(used *connection, now time.Time) {
+	used.usedAt = now
+	connections.put(used)
+}
+
+func (connections *connections) put(used *connection) {
 	connections.mutex.Lock()
 	defer connections.mutex.Unlock()
 	if connections.idle == nil {
 		connections.idle = map[string][]*connection{}
 	}
-	used.usedAt = now
 	connections.idle[used.address] = append(connections.idle[used.address], used)
 }
 
--- a/member.go
+++ b/member.go
@@ -1,5 +1,7 @@
 package balsamproxy
 
+import "time"
+
 // TargetState is what a target says of itself.
 type TargetState string
 
@@ -37,3 +39,32 @@
 	Leaving     bool     `json:"leaving"`
 	Targets     []Target `json:"targets"`
 }
+
+// Announcement is what a target says of itself at one moment.
+type Announcement struct {
+	Target Target
+	// Sequence grows with each announcement of one incarnation.
+	Sequence int64
+	// Born is the start of the incarnation in Unix milliseconds; zero if the
+	// target does not say.
+	Born int64
+	// ColdFor is how much longer the target is slow after its start.
+	ColdFor time.Duration
+}
+
+// Status is what a daemon tells its peers of itself over their links.
+type Status struct {
+	Host       HostID       `cbor:"1,keyasint"`
+	DataCentre DataCentreID `cbor:"2,keyasint"`
+	// Incarnation differs between two runs of a daemon on the same host.
+	Incarnation string `cbor:"3,keyasint"`
+	// PeerAddress is where other daemons reach this one, as host:port.
+	PeerAddress string `cbor:"4,keyasint"`
+	// Leaving says that the daemon takes no new calls.
+	Leaving bool     `cbor:"5,keyasint,omitempty"`
+	Targets []Target `cbor:"6,keyasint"`
+	// Config is the version of the configuration in force.
+	Config Revision `cbor:"7,keyasint"`
+	// Homes are the groups of client accounts that the daemon is home of.
+	Homes []int `cbor:"8,keyasint"`
+}
--- a/refusal.go
+++ b/refusal.go
@@ -20,6 +20,9 @@
 const (
 	ReasonBadRequest      Reason = "bad-request"
 	ReasonTooLarge        Reason = "too-large"
+	ReasonHeaderTooLarge  Reason = "header-too-large"
+	ReasonNoEvidence      Reason = "configuration-not-confirmed"
+	ReasonCrowdedOut      Reason = "deep-service-overloaded"
 	ReasonKeyMissing      Reason = "key-missing"
 	ReasonKeyUnknown      Reason = "key-unknown"
 	ReasonNoRoute         Reason = "no-route"
@@ -56,6 +59,8 @@
 	Detail  string        `cbor:"3,keyasint,omitempty"`
 	Retry   time.Duration `cbor:"4,keyasint,omitempty"`
 	Load    Load          `cbor:"5,keyasint"`
+	// Arrived says that a target was sent the call and refused it.
+	Arrived bool `cbor:"7,keyasint,omitempty"`
 	// Crash is set if the target crashed while it worked on the call.
 	Crash CrashID `cbor:"6,keyasint,omitempty"`
 }
