--- a/call.go
+++ b/call.go
@@ -59,6 +59,9 @@
 	ContentLength int64 `cbor:"3,keyasint"`
 	// Load is the state of the target when it answered.
 	Load Load `cbor:"4,keyasint"`
+	// CalleeFailed says that the target failed since one of its own calls
+	// did: the same request would fail at another target too.
+	CalleeFailed bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Load is the state of one target as the daemon beside it sees it.
--- a/core/allowance/purse.go
+++ b/core/allowance/purse.go
@@ -12,7 +12,7 @@
 	// demandWindow is the time over which demand is averaged.
 	demandWindow = 500 * time.Millisecond
 	// aheadTime is for how long tokens are borrowed ahead of need.
-	aheadTime = 100 * time.Millisecond
+	aheadTime = 400 * time.Millisecond
 	// emptyMax bounds how long an account is taken for empty without asking.
 	emptyMax = 50 * time.Millisecond
 )
--- a/core/placing/chooser.go
+++ b/core/placing/chooser.go
@@ -18,13 +18,19 @@
 )
 
 const (
-	// farPenalty is how much longer an answer of the own data centre may take
-	// before another one is asked, for a call without a body.
-	farPenalty = 120 * time.Millisecond
-	// farPenaltyPerKilobyte is added for each kilobyte of the body.
-	farPenaltyPerKilobyte = 40 * time.Millisecond
-	// failurePenalty is what a target that fails all calls is charged.
-	failurePenalty = 3 * time.Second
+	// farCost is what it costs to leave the own data centre, in parts of what
+	// an answer is worth, for a call without a body: a small request and its
+	// answer are about two kilobytes.
+	farCost = 0.15
+	// farCostPerKilobyte is added for each kilobyte of the body; the answer
+	// is taken to be about as long.
+	farCostPerKilobyte = 0.04
+	// spread is the standard deviation of the logarithm of the time of an
+	// answer: half an answer's usual time is a common spread of real work.
+	spread = 0.5
+	// failureCost is what a call costs that fails for certain, with the time
+	// that is lost for a repeat.
+	failureCost = 1.5
 	// failureHalfLife is the time in which half of a failure is forgotten.
 	failureHalfLife = 2 * time.Second
 	// failurePart is the weight of one call in the share of failures.
@@ -35,13 +41,19 @@
 	waitMemory = 250 * time.Millisecond
 	// latencyPart is the weight of one call in the usual time of an answer.
 	latencyPart = 0.1
+	// latencyHalfLife is the time in which the usual time of a target that is
+	// not asked is taken for half as long, so that it is asked again.
+	latencyHalfLife = 3 * time.Second
 	// unknownLatency is taken for a target that has not answered yet.
 	unknownLatency = 20 * time.Millisecond
 	// crowdPart is the part of a target's slots that, taken by calls of this
 	// daemon alone, doubles the expected time.
 	crowdPart = 0.25
-	// jitter is the random part of the expected time, so that daemons that
-	// know the same do not all choose the same.
+	// evenCost is charged for the expected time as such, so that of two
+	// targets that are both in time the faster one is chosen.
+	evenCost = 0.05
+	// jitter is the random part of the cost, so that daemons that know the
+	// same do not all choose the same.
 	jitter = 0.15
 )
 
@@ -50,6 +62,8 @@
 	Kind balsamproxy.RouteID
 	// Bytes is the length of the body.
 	Bytes int
+	// Objective is the time within which an answer is worth most.
+	Objective time.Duration
 	// Excluded are targets that must not be chosen.
 	Excluded []balsamproxy.TargetID
 }
@@ -65,7 +79,7 @@
 
 type memory struct {
 	open      int
-	latencies map[balsamproxy.RouteID]time.Duration
+	latencies map[balsamproxy.RouteID]latency
 	failures  float64
 	failedAt  time.Time
 	wait      time.Duration
@@ -73,6 +87,12 @@
 	usedAt    time.Time
 }
 
+// latency is the usual time of the answers of one kind.
+type latency struct {
+	mean time.Duration
+	at   time.Time
+}
+
 // forgetAfter is how long an unused target is remembered.
 const forgetAfter = time.Minute
 
@@ -83,7 +103,7 @@
 			chooser.targets = map[balsamproxy.TargetID]*memory{}
 		}
 		chooser.forget(now)
-		held = &memory{latencies: map[balsamproxy.RouteID]time.Duration{}}
+		held = &memory{latencies: map[balsamproxy.RouteID]latency{}}
 		chooser.targets[target] = held
 	}
 	held.usedAt = now
@@ -98,7 +118,7 @@
 	}
 }
 
-// Choose returns the endpoint with the least expected time. Random returns
+// Choose returns the endpoint with the least expected cost. Random returns
 // uniform numbers from 0 up to 1.
 func (chooser *Chooser) Choose(endpoints []membership.Endpoint, call Call, random func() float64, now time.Time) (membership.Endpoint, bool) {
 	chooser.mutex.Lock()
@@ -109,9 +129,9 @@
 		if excludes(call.Excluded, endpoint.Target.ID) {
 			continue
 		}
-		expected := chooser.expected(endpoint, call, now) * (1 + jitter*random())
-		if expected < least {
-			least = expected
+		cost := chooser.cost(endpoint, call, now) * (1 + jitter*random())
+		if cost < least {
+			least = cost
 			best = endpoint
 		}
 	}
@@ -127,27 +147,45 @@
 	return false
 }
 
-// expected returns the time in seconds that an answer is expected to take,
-// with what the way there is worth.
-func (chooser *Chooser) expected(endpoint membership.Endpoint, call Call, now time.Time) float64 {
+// cost returns what a call to an endpoint is expected to cost, in parts of
+// what its answer is worth: the chance that it comes late, the chance that it
+// fails, and the way there.
+func (chooser *Chooser) cost(endpoint membership.Endpoint, call Call, now time.Time) float64 {
 	far := 0.0
 	if endpoint.DataCentre != chooser.DataCentre {
-		far = farPenalty.Seconds() + farPenaltyPerKilobyte.Seconds()*float64(call.Bytes)/1024
+		far = farCost + farCostPerKilobyte*float64(call.Bytes)/1024
 	}
 	held, found := chooser.targets[endpoint.Target.ID]
 	if !found {
-		return unknownLatency.Seconds() + far
-	}
-	latency, answered := held.latencies[call.Kind]
-	if !answered {
-		latency = unknownLatency
+		return far + lateness(unknownLatency, call.Objective)
 	}
 	crowd := float64(held.open) / (crowdPart * float64(max(endpoint.Target.Slots, 1)))
-	expected := latency.Seconds()*(1+crowd) + far
+	expected := time.Duration(float64(held.latency(call.Kind, now)) * (1 + crowd))
 	if now.Sub(held.waitAt) < waitMemory {
-		expected += held.wait.Seconds()
+		expected += held.wait
+	}
+	return far + lateness(expected, call.Objective) + failureCost*held.failureShare(now)
+}
+
+// lateness returns the chance that an answer with a usual time misses its
+// objective, where the logarithm of the time is normally distributed.
+func lateness(expected, objective time.Duration) float64 {
+	if objective <= 0 {
+		return 1
+	}
+	part := float64(expected) / float64(objective)
+	deviations := (spread*spread/2 - math.Log(part)) / spread
+	return math.Erfc(deviations/math.Sqrt2)/2 + evenCost*part
+}
+
+// latency returns the usual time of a kind, less the longer none was seen.
+func (held *memory) latency(kind balsamproxy.RouteID, now time.Time) time.Duration {
+	known, found := held.latencies[kind]
+	if !found {
+		return unknownLatency
 	}
-	return expected + held.failureShare(now)*failurePenalty.Seconds()
+	age := now.Sub(known.at)
+	return max(time.Duration(float64(known.mean)*math.Exp2(-float64(age)/float64(latencyHalfLife))), unknownLatency)
 }
 
 func (held *memory) failureShare(now time.Time) float64 {
@@ -194,7 +232,7 @@
 	}
 	switch outcome {
 	case Answered:
-		held.learn(kind, took)
+		held.learn(kind, took, now)
 		held.fail(0, failurePart, now)
 	case Failed:
 		held.fail(1, failurePart, now)
@@ -203,13 +241,15 @@
 	}
 }
 
-func (held *memory) learn(kind balsamproxy.RouteID, took time.Duration) {
-	before, found := held.latencies[kind]
+func (held *memory) learn(kind balsamproxy.RouteID, took time.Duration, now time.Time) {
+	known, found := held.latencies[kind]
 	if !found {
-		held.latencies[kind] = took
+		held.latencies[kind] = latency{mean: took, at: now}
 		return
 	}
-	held.latencies[kind] = before + time.Duration(float64(took-before)*latencyPart)
+	known.mean += time.Duration(float64(took-known.mean) * latencyPart)
+	known.at = now
+	held.latencies[kind] = known
 }
 
 func (held *memory) fail(failed, part float64, now time.Time) {
--- a/dialect.go
+++ b/dialect.go
@@ -54,6 +54,10 @@
 	PutTargetHead(header http.Header, head TargetHead)
 	// ReadAnswerMark reads the header of a target's answer.
 	ReadAnswerMark(status int, header http.Header) AnswerMark
+	// TakeAnswerID removes the id of the request from the header of an
+	// answer, and PutAnswerID puts it back.
+	TakeAnswerID(header http.Header)
+	PutAnswerID(header http.Header, request RequestID)
 	// PutRefusal adds what a caller is told of a refusal and returns the
 	// status.
 	PutRefusal(header http.Header, request RequestID, refusal *Refusal) int
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -47,8 +46,8 @@
 	Random    func() float64
 	Events    *events.Log
 	Metrics   tally.Scope
-
-	sequence atomic.Uint64
+	// CallFailed is told that a call of a target of this host has failed.
+	CallFailed func()
 }
 
 var _ http1.Handler = (*Entry)(nil)
@@ -91,6 +90,15 @@
 	visit := &visit{entry: entry, request: request}
 	ctx, cancel := visit.bound(ctx)
 	defer cancel()
+	response := visit.pass(ctx)
+	if visit.nested && response.Status >= http.StatusBadRequest {
+		entry.CallFailed()
+	}
+	return response
+}
+
+// pass takes the request through all stages.
+func (visit *visit) pass(ctx context.Context) http1.Response {
 	for _, stage := range way {
 		if refusal := stage.pass(visit, ctx); refusal != nil {
 			return visit.refuse(ctx, stage.name, refusal)
@@ -218,9 +226,14 @@
 	visit.entry.Metrics.Tagged(map[string]string{"route-kind": visit.kindTag()}).
 		Histogram("request_seconds", latencyBuckets).
 		RecordDuration(visit.entry.Clock.Now().Sub(visit.request.ReadAt))
+	header := visit.answer.Head.Header
+	if header == nil {
+		header = http.Header{}
+	}
+	visit.entry.Dialect.PutAnswerID(header, visit.caller.RequestID)
 	return http1.Response{
 		Status:        visit.answer.Head.Status,
-		Header:        visit.answer.Head.Header,
+		Header:        header,
 		ContentLength: visit.answer.Head.ContentLength,
 		Body:          visit.answer.Body,
 	}
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -90,11 +90,7 @@
 			return visit.waitPlace()
 		}
 		endpoints := entry.Members.Endpoints(visit.service)
-		endpoint, found := entry.Chooser.Choose(endpoints, placing.Call{
-			Kind:     visit.route.ID,
-			Bytes:    len(visit.request.Body),
-			Excluded: attempts.excluded,
-		}, entry.Random, now)
+		endpoint, found := entry.Chooser.Choose(endpoints, visit.placed(), entry.Random, now)
 		if found {
 			return endpoint, visit.patience(endpoints), nil
 		}
@@ -109,6 +105,22 @@
 	}
 }
 
+// placed tells what matters of the request for its place.
+func (visit *visit) placed() placing.Call {
+	return placing.Call{
+		Kind:      visit.route.ID,
+		Bytes:     len(visit.request.Body),
+		Objective: visit.objective(),
+		Excluded:  visit.attempts.excluded,
+	}
+}
+
+// objective returns the time within which an answer is worth most: it cannot
+// be longer than the route's time-out or than the caller waits.
+func (visit *visit) objective() time.Duration {
+	return min(visit.route.ObjectiveOrDeadline(), visit.deadline.Sub(visit.request.ReadAt))
+}
+
 // patience returns how long to wait at a door while others have not been
 // asked.
 func (visit *visit) patience(endpoints []membership.Endpoint) time.Duration {
@@ -118,14 +130,14 @@
 	if len(endpoints) <= len(visit.attempts.excluded)+1 {
 		return visit.lastPatience()
 	}
-	return visit.route.ObjectiveOrDeadline() / firstPatience
+	return visit.objective() / firstPatience
 }
 
 // lastPatience returns how long to wait where nothing else is left: until an
 // answer could not come in time for its objective.
 func (visit *visit) lastPatience() time.Duration {
 	waited := visit.entry.Clock.Now().Sub(visit.request.ReadAt)
-	return max(visit.route.ObjectiveOrDeadline()-waited, 0)
+	return max(visit.objective()-waited, 0)
 }
 
 // waitPlace returns the full target with the least wait, once.
@@ -168,15 +180,27 @@
 		entry.Chooser.End(target, visit.route.ID, outcomeOf(ctx, refusal), now.Sub(begin), refusal.Load, now)
 		return nil, refusal
 	}
-	entry.Budget.Sent(visit.service)
+	visit.arrive()
 	outcome := placing.Answered
-	if answer.Head.Status >= http.StatusInternalServerError {
+	switch {
+	case answer.Head.CalleeFailed:
+		outcome = placing.Dropped
+	case answer.Head.Status >= http.StatusInternalServerError:
 		outcome = placing.Failed
 	}
 	entry.Chooser.End(target, visit.route.ID, outcome, now.Sub(begin), answer.Head.Load, now)
 	return answer, nil
 }
 
+// arrive counts a target that was sent the request; the first one adds to the
+// budget of repeats.
+func (visit *visit) arrive() {
+	if visit.attempts.arrived == 0 {
+		visit.entry.Budget.Sent(visit.service)
+	}
+	visit.attempts.arrived++
+}
+
 func (visit *visit) carry(ctx context.Context, host balsamproxy.HostID, call balsamproxy.Call) (*balsamproxy.Answer, error) {
 	if host == visit.entry.Host {
 		return visit.entry.Local.Carry(ctx, call)
@@ -248,8 +272,7 @@
 		visit.noteFull(endpoint, refusal)
 		return attempts.fulls <= probesMax
 	}
-	attempts.arrived++
-	visit.entry.Budget.Sent(visit.service)
+	visit.arrive()
 	if ran && !visit.route.Idempotent {
 		return false
 	}
@@ -283,7 +306,7 @@
 func (visit *visit) repeats(ctx context.Context, answer *balsamproxy.Answer) bool {
 	failed := answer.Head.Status == http.StatusInternalServerError || answer.Head.Status == http.StatusBadGateway ||
 		answer.Head.Status == http.StatusServiceUnavailable
-	if !failed || !visit.route.Idempotent || ctx.Err() != nil {
+	if !failed || answer.Head.CalleeFailed || !visit.route.Idempotent || ctx.Err() != nil {
 		return false
 	}
 	now := visit.entry.Clock.Now()
@@ -295,7 +318,6 @@
 	if len(endpoints) <= 1 {
 		return false
 	}
-	attempts.arrived++
 	attempts.mayHaveRun = true
 	if !visit.mayRepeat() {
 		return false
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -47,7 +47,7 @@
 	memoryDivisor = 10
 	// repeatPart is the part of the fleet's ratio of repeats that is spent
 	// on repeats of whole requests; the rest is left for their calls.
-	repeatPart = 0.5
+	repeatPart = 0.4
 	// slackPart is the part of the fleet's slack that daemons may save up.
 	slackPart = 0.5
 )
@@ -246,6 +246,8 @@
 		Random:    rand.Float64,
 		Events:    &events.Log{Logger: daemon.log, Now: time.Now},
 		Metrics:   daemon.metrics,
+
+		CallFailed: daemon.local.CallFailed,
 	}
 	daemon.callers = &http1.Server{Handler: way}
 }
--- a/io/mesh/run.go
+++ b/io/mesh/run.go
@@ -27,7 +27,9 @@
 	// finishPart is the part of the grace after which what still runs is
 	// given up.
 	finishPart = 0.94
-	quietPoll  = 20 * time.Millisecond
+	// endMax bounds the wait for the parts of the daemon after that.
+	endMax    = 150 * time.Millisecond
+	quietPoll = 20 * time.Millisecond
 	// headerTimeout bounds the header of a request to a small server.
 	headerTimeout = 2 * time.Second
 )
@@ -73,7 +75,11 @@
 	}
 	running.shutDown(sockets[0])
 	stop()
-	<-running.parts.Ended()
+	select {
+	case <-running.parts.Ended():
+	case <-time.After(endMax):
+		daemon.log.Warn().Str("event", "parts-still-running").Send()
+	}
 	daemon.log.Info().Str("event", "ended").Send()
 	return errors.Join(failed, daemon.closer.Close())
 }
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -25,7 +25,7 @@
 	leaving atomic.Bool
 	// learned is told what the peer says of itself; it may be nil.
 	learned func(balsamproxy.Status)
-	heard     atomic.Int64
+	heard   atomic.Int64
 	// silences counts the probe intervals without a word from the peer.
 	silences int
 }
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -44,6 +45,7 @@
 	table       announced.Table
 	doors       map[balsamproxy.TargetID]*openDoor
 	tickets     door.Ticket
+	blame       door.Blame
 	connections connections
 }
 
@@ -189,6 +191,23 @@
 	return departed
 }
 
+// CallFailed notes that a call which a target of this host made has failed.
+func (local *Local) CallFailed() {
+	local.mutex.Lock()
+	defer local.mutex.Unlock()
+	local.blame.CallFailed(local.Clock.Now())
+}
+
+// calleeFailed says whether a failed answer is put down to a failed call.
+func (local *Local) calleeFailed(status int) bool {
+	if status < http.StatusInternalServerError {
+		return false
+	}
+	local.mutex.Lock()
+	defer local.mutex.Unlock()
+	return local.blame.Explains(local.Clock.Now())
+}
+
 // visit is one call at the door of its target.
 type visit struct {
 	local  *Local
@@ -364,11 +383,14 @@
 	case mark.Promise && !visit.call.Head.Idempotent:
 		return nil, balsamproxy.MayHaveRun(balsamproxy.ReasonTargetFailed, "the target refused without saying that it did not run the call")
 	}
+	visit.local.Dialect.TakeAnswerID(delivered.header)
+	delivered.header.Del("Content-Length")
 	return &balsamproxy.Answer{
 		Head: balsamproxy.AnswerHead{
 			Status:        delivered.status,
 			Header:        delivered.header,
 			ContentLength: int64(len(delivered.body)),
+			CalleeFailed:  visit.local.calleeFailed(delivered.status),
 		},
 		Body: io.NopCloser(bytes.NewReader(delivered.body)),
 	}, nil
