--- a/core/placing/chooser.go
+++ b/core/placing/chooser.go
@@ -37,6 +37,10 @@
 	failurePart = 0.12
 	// lossPart is the weight of one lost connection or unreachable target.
 	lossPart = 0.5
+	// servicePart is the weight of one call in the failures of its service.
+	servicePart = 0.03
+	// triedCost is added for a target that has just refused the call.
+	triedCost = 0.1
 	// waitMemory is how long a wait that a target told is believed.
 	waitMemory = 250 * time.Millisecond
 	// latencyPart is the weight of one call in the usual time of an answer.
@@ -64,8 +68,10 @@
 	Bytes int
 	// Objective is the time within which an answer is worth most.
 	Objective time.Duration
-	// Excluded are targets that must not be chosen.
+	// Excluded are targets that must not be chosen, and Tried those that
+	// have refused the call.
 	Excluded []balsamproxy.TargetID
+	Tried    []balsamproxy.TargetID
 }
 
 // Chooser remembers what each target showed. Its zero value works.
@@ -75,18 +81,37 @@
 
 	mutex   sync.Mutex
 	targets map[balsamproxy.TargetID]*memory
+	// services hold the failures of all targets of a service together.
+	services map[balsamproxy.ServiceID]*failures
 }
 
 type memory struct {
 	open      int
 	latencies map[balsamproxy.RouteID]latency
-	failures  float64
-	failedAt  time.Time
+	failures  failures
 	wait      time.Duration
 	waitAt    time.Time
 	usedAt    time.Time
 }
 
+// failures is the share of calls that failed lately.
+type failures struct {
+	share float64
+	at    time.Time
+}
+
+// now returns the share, which in time becomes the usual one.
+func (failures failures) now(usual float64, now time.Time) float64 {
+	age := now.Sub(failures.at)
+	return usual + (failures.share-usual)*math.Exp2(-float64(age)/float64(failureHalfLife))
+}
+
+func (failures *failures) note(failed, part, usual float64, now time.Time) {
+	share := failures.now(usual, now)
+	failures.share = share + (failed-share)*part
+	failures.at = now
+}
+
 // latency is the usual time of the answers of one kind.
 type latency struct {
 	mean time.Duration
@@ -155,16 +180,20 @@
 	if endpoint.DataCentre != chooser.DataCentre {
 		far = farCost + farCostPerKilobyte*float64(call.Bytes)/1024
 	}
+	if excludes(call.Tried, endpoint.Target.ID) {
+		far += triedCost
+	}
+	usual := chooser.usualFailures(endpoint.Target.Service, now)
 	held, found := chooser.targets[endpoint.Target.ID]
 	if !found {
-		return far + lateness(unknownLatency, call.Objective)
+		return far + lateness(unknownLatency, call.Objective) + failureCost*usual
 	}
 	crowd := float64(held.open) / (crowdPart * float64(max(endpoint.Target.Slots, 1)))
 	expected := time.Duration(float64(held.latency(call.Kind, now)) * (1 + crowd))
 	if now.Sub(held.waitAt) < waitMemory {
 		expected += held.wait
 	}
-	return far + lateness(expected, call.Objective) + failureCost*held.failureShare(now)
+	return far + lateness(expected, call.Objective) + failureCost*held.failures.now(usual, now)
 }
 
 // lateness returns the chance that an answer with a usual time misses its
@@ -188,12 +217,13 @@
 	return max(time.Duration(float64(known.mean)*math.Exp2(-float64(age)/float64(latencyHalfLife))), unknownLatency)
 }
 
-func (held *memory) failureShare(now time.Time) float64 {
-	if held.failures == 0 {
+// usualFailures returns the share of failed calls of a service as a whole.
+func (chooser *Chooser) usualFailures(service balsamproxy.ServiceID, now time.Time) float64 {
+	known, found := chooser.services[service]
+	if !found {
 		return 0
 	}
-	age := now.Sub(held.failedAt)
-	return held.failures * math.Exp2(-float64(age)/float64(failureHalfLife))
+	return known.now(0, now)
 }
 
 // Begin counts a call that is sent to a target.
@@ -220,25 +250,50 @@
 	Dropped
 )
 
-// End notes how a call ended, how long it took, and the load that was told.
-func (chooser *Chooser) End(target balsamproxy.TargetID, kind balsamproxy.RouteID, outcome Outcome, took time.Duration, load balsamproxy.Load, now time.Time) {
+// Ended is how a call ended.
+type Ended struct {
+	Target  balsamproxy.TargetID
+	Service balsamproxy.ServiceID
+	Kind    balsamproxy.RouteID
+	Outcome Outcome
+	Took    time.Duration
+	// Load is what the target's door told; it may be zero.
+	Load balsamproxy.Load
+}
+
+// End notes how a call ended.
+func (chooser *Chooser) End(ended Ended, now time.Time) {
 	chooser.mutex.Lock()
 	defer chooser.mutex.Unlock()
-	held := chooser.memory(target, now)
+	held := chooser.memory(ended.Target, now)
 	held.open--
-	if load.Limit > 0 {
-		held.wait = load.Wait
+	if ended.Load.Limit > 0 {
+		held.wait = ended.Load.Wait
 		held.waitAt = now
 	}
-	switch outcome {
+	switch ended.Outcome {
 	case Answered:
-		held.learn(kind, took, now)
-		held.fail(0, failurePart, now)
+		held.learn(ended.Kind, ended.Took, now)
+		chooser.note(ended, 0, failurePart, now)
 	case Failed:
-		held.fail(1, failurePart, now)
+		chooser.note(ended, 1, failurePart, now)
 	case Lost:
-		held.fail(1, lossPart, now)
+		chooser.note(ended, 1, lossPart, now)
+	}
+}
+
+// note adds an outcome to the failures of a target and of its service.
+func (chooser *Chooser) note(ended Ended, failed, part float64, now time.Time) {
+	if chooser.services == nil {
+		chooser.services = map[balsamproxy.ServiceID]*failures{}
 	}
+	service, found := chooser.services[ended.Service]
+	if !found {
+		service = &failures{at: now}
+		chooser.services[ended.Service] = service
+	}
+	service.note(failed, servicePart, 0, now)
+	chooser.targets[ended.Target].failures.note(failed, part, service.share, now)
 }
 
 func (held *memory) learn(kind balsamproxy.RouteID, took time.Duration, now time.Time) {
@@ -252,12 +307,6 @@
 	held.latencies[kind] = known
 }
 
-func (held *memory) fail(failed, part float64, now time.Time) {
-	share := held.failureShare(now)
-	held.failures = share + (failed-share)*part
-	held.failedAt = now
-}
-
 // Wait returns the wait that a target told last, and how old that is.
 func (chooser *Chooser) Wait(target balsamproxy.TargetID, now time.Time) (time.Duration, time.Duration) {
 	chooser.mutex.Lock()
--- a/core/placing/chooser_test.go
+++ b/core/placing/chooser_test.go
@@ -18,7 +18,7 @@
 	return membership.Endpoint{
 		Host:       balsamproxy.HostID(id),
 		DataCentre: balsamproxy.DataCentreID(dataCentre),
-		Target:     balsamproxy.Target{ID: balsamproxy.TargetID(id), Slots: 100},
+		Target:     balsamproxy.Target{ID: balsamproxy.TargetID(id), Service: "venues", Slots: 100},
 	}
 }
 
@@ -45,6 +45,7 @@
 		"near again though they were late once":  {[]shown{{"near", 50, 900 * time.Millisecond, placing.Answered, balsamproxy.Load{}}, {"far", 50, 150 * time.Millisecond, placing.Answered, balsamproxy.Load{}}}, 0, 1200 * time.Millisecond, 6 * time.Second, "near"},
 		"far when near ones fail":                {[]shown{{"near", 10, 10 * time.Millisecond, placing.Failed, balsamproxy.Load{}}, {"far", 10, 150 * time.Millisecond, placing.Answered, balsamproxy.Load{}}}, 0, time.Second, 0, "far"},
 		"near again some time after they failed": {[]shown{{"near", 10, 10 * time.Millisecond, placing.Failed, balsamproxy.Load{}}, {"far", 10, 150 * time.Millisecond, placing.Answered, balsamproxy.Load{}}}, 0, time.Second, 10 * time.Second, "near"},
+		"near when all fail alike":               {[]shown{{"near", 40, 10 * time.Millisecond, placing.Failed, balsamproxy.Load{}}, {"far", 40, 10 * time.Millisecond, placing.Failed, balsamproxy.Load{}}}, 0, time.Second, time.Second, "near"},
 		"far when near ones have a queue":        {[]shown{{"near", 10, 10 * time.Millisecond, placing.Answered, balsamproxy.Load{Limit: 100, Wait: time.Second}}}, 0, time.Second, 0, "far"},
 		"a long body stays near":                 {[]shown{{"near", 50, 430 * time.Millisecond, placing.Answered, balsamproxy.Load{}}, {"far", 50, 100 * time.Millisecond, placing.Answered, balsamproxy.Load{}}}, 16 << 10, time.Second, 0, "near"},
 	}
@@ -54,7 +55,10 @@
 			for _, shown := range test.shown {
 				for range shown.calls {
 					chooser.Begin(shown.target, start)
-					chooser.End(shown.target, "browse", shown.outcome, shown.took, shown.load, start)
+					chooser.End(placing.Ended{
+						Target: shown.target, Service: "venues", Kind: "browse",
+						Outcome: shown.outcome, Took: shown.took, Load: shown.load,
+					}, start)
 				}
 			}
 			call := placing.Call{Kind: "browse", Bytes: test.bytes, Objective: test.objective}
--- a/core/suspect/table.go
+++ b/core/suspect/table.go
@@ -108,6 +108,17 @@
 	table.count.Store(int64(len(table.entries)))
 }
 
+// IsBlocked says whether a request crashed too many targets to be tried.
+func (table *Table) IsBlocked(fingerprint Fingerprint, now time.Time) bool {
+	if !table.Any() {
+		return false
+	}
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	held, found := table.entries[fingerprint]
+	return found && now.Before(held.until) && len(held.crashes) >= crashesMost
+}
+
 // Clear forgets a request that has been answered.
 func (table *Table) Clear(fingerprint Fingerprint) {
 	table.mutex.Lock()
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -21,6 +21,7 @@
 	"balsamproxy/core/evidence"
 	"balsamproxy/core/membership"
 	"balsamproxy/core/placing"
+	"balsamproxy/core/suspect"
 	"balsamproxy/io/events"
 	"balsamproxy/io/http1"
 	"balsamproxy/io/httpanswer"
@@ -46,12 +47,22 @@
 	Random    func() float64
 	Events    *events.Log
 	Metrics   tally.Scope
+	// Crashes keeps requests that crash their targets from being tried again.
+	Crashes Crashes
 	// CallFailed is told that a call of a target of this host has failed.
 	CallFailed func()
 }
 
 var _ http1.Handler = (*Entry)(nil)
 
+// Crashes are the requests that crashed targets.
+type Crashes interface {
+	// Blocked says whether a request crashed too many targets to be tried.
+	Blocked(fingerprint suspect.Fingerprint, now time.Time) bool
+	// Crashed notes that a request was under way when a target crashed.
+	Crashed(fingerprint suspect.Fingerprint, id balsamproxy.CrashID, now time.Time)
+}
+
 // stage lets a request go on or refuses it.
 type stage struct {
 	name string
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -10,6 +10,7 @@
 	"balsamproxy"
 	"balsamproxy/core/membership"
 	"balsamproxy/core/placing"
+	"balsamproxy/core/suspect"
 )
 
 const (
@@ -29,6 +30,9 @@
 	// fullRetry is the least time after which a caller that found all doors
 	// full should come back.
 	fullRetry = 200 * time.Millisecond
+	// suspectRetry is when a caller whose request crashed targets may ask
+	// again; it is long, since the request will be refused again.
+	suspectRetry = 30 * time.Second
 	// repeatPart is the part of the time to the deadline after which a failed
 	// answer is not repeated any more.
 	repeatPart = 2
@@ -61,6 +65,11 @@
 func (visit *visit) send(ctx context.Context) *balsamproxy.Refusal {
 	visit.service = visit.entry.Split.Next(visit.route)
 	for {
+		if visit.blocked() {
+			refusal := balsamproxy.NotRun(balsamproxy.ReasonSuspect, "the request crashed the targets that ran it")
+			refusal.Retry = suspectRetry
+			return visit.outcome(refusal)
+		}
 		endpoint, patience, refusal := visit.choose(ctx)
 		if refusal != nil {
 			return visit.outcome(refusal)
@@ -79,6 +88,20 @@
 	}
 }
 
+// blocked says whether the request crashed too many targets to be tried.
+func (visit *visit) blocked() bool {
+	return visit.entry.Crashes.Blocked(visit.fingerprint(), visit.entry.Clock.Now())
+}
+
+func (visit *visit) fingerprint() suspect.Fingerprint {
+	return suspect.FingerprintOf(balsamproxy.CallHead{
+		Account: visit.account,
+		Service: visit.service,
+		Method:  visit.request.Head.Method,
+		Path:    visit.target(),
+	}, visit.request.Body)
+}
+
 // choose returns the next target and how long to wait there.
 func (visit *visit) choose(ctx context.Context) (membership.Endpoint, time.Duration, *balsamproxy.Refusal) {
 	entry := visit.entry
@@ -112,6 +135,7 @@
 		Bytes:     len(visit.request.Body),
 		Objective: visit.objective(),
 		Excluded:  visit.attempts.excluded,
+		Tried:     visit.attempts.tried,
 	}
 }
 
@@ -177,7 +201,7 @@
 	now := entry.Clock.Now()
 	if err != nil {
 		refusal := refusalOf(err)
-		entry.Chooser.End(target, visit.route.ID, outcomeOf(ctx, refusal), now.Sub(begin), refusal.Load, now)
+		entry.Chooser.End(visit.ended(target, outcomeOf(ctx, refusal), now.Sub(begin), refusal.Load), now)
 		return nil, refusal
 	}
 	visit.arrive()
@@ -188,10 +212,16 @@
 	case answer.Head.Status >= http.StatusInternalServerError:
 		outcome = placing.Failed
 	}
-	entry.Chooser.End(target, visit.route.ID, outcome, now.Sub(begin), answer.Head.Load, now)
+	entry.Chooser.End(visit.ended(target, outcome, now.Sub(begin), answer.Head.Load), now)
 	return answer, nil
 }
 
+func (visit *visit) ended(target balsamproxy.TargetID, outcome placing.Outcome, took time.Duration, load balsamproxy.Load) placing.Ended {
+	return placing.Ended{
+		Target: target, Service: visit.service, Kind: visit.route.ID, Outcome: outcome, Took: took, Load: load,
+	}
+}
+
 // arrive counts a target that was sent the request; the first one adds to the
 // budget of repeats.
 func (visit *visit) arrive() {
@@ -264,7 +294,12 @@
 	attempts.last = refusal
 	ran := refusal.Outcome == balsamproxy.OutcomeMayHaveRun
 	attempts.mayHaveRun = attempts.mayHaveRun || ran
-	attempts.excluded = append(attempts.excluded, endpoint.Target.ID)
+	if !refusal.Arrived || ran {
+		attempts.excluded = append(attempts.excluded, endpoint.Target.ID)
+	}
+	if refusal.Crash != "" {
+		visit.entry.Crashes.Crashed(visit.fingerprint(), refusal.Crash, visit.entry.Clock.Now())
+	}
 	if ctx.Err() != nil || refusal.Reason == balsamproxy.ReasonDeadline || refusal.Reason == balsamproxy.ReasonBadRequest {
 		return false
 	}
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -89,6 +89,7 @@
 	documents *documents
 	callers   *http1.Server
 
+	crashes  crashes
 	service  atomic.Pointer[balsamproxy.ServiceID]
 	leaving  atomic.Bool
 	wakeDial chan struct{}
@@ -131,6 +132,7 @@
 	daemon.evidence.Limit = evidence.LimitFor(time.Duration(settings.WithdrawalBound))
 	daemon.budget.Ratio = settings.RepeatRatio * repeatPart
 	daemon.budget.SetMost(settings.RepeatSlack * slackPart)
+	daemon.crashes.changed = daemon.announce
 	daemon.view = newView(settings.Host, &daemon.table, log, time.Now)
 	daemon.wirePeers()
 	daemon.wireStore()
@@ -143,6 +145,7 @@
 		Clock:   daemon.clock,
 		Dialect: daemon.platform.Dialect,
 		Changed: daemon.announce,
+		Left:    daemon.recordLeft,
 		Log:     daemon.log,
 		Metrics: daemon.metrics,
 	}
@@ -248,6 +251,7 @@
 		Metrics:   daemon.metrics,
 
 		CallFailed: daemon.local.CallFailed,
+		Crashes:    &daemon.crashes,
 	}
 	daemon.callers = &http1.Server{Handler: way}
 }
@@ -263,6 +267,15 @@
 		Targets:     daemon.local.Targets(),
 		Config:      daemon.documents.version(),
 		Homes:       daemon.registry.Held(),
+		Crashes:     daemon.crashes.told(daemon.clock.Now()),
+	}
+}
+
+// recordLeft writes down which targets have left, before that is acknowledged
+// to them if the store answers in time.
+func (daemon *Daemon) recordLeft(targets map[balsamproxy.TargetID]int64) {
+	if err := daemon.registry.RecordLeft(context.Background(), targets); err != nil {
+		daemon.log.Warn().Str("event", "left-targets-not-recorded").Err(err).Send()
 	}
 }
 
@@ -279,6 +292,7 @@
 
 func (daemon *Daemon) learned(status balsamproxy.Status) {
 	daemon.view.learn(status)
+	daemon.crashes.learn(status.Crashes, daemon.clock.Now())
 	if len(status.Homes) == 0 {
 		daemon.registry.Released(status.Host)
 	}
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -38,6 +39,9 @@
 	Dialect balsamproxy.Dialect
 	// Changed is called when what peers should know of a target changes.
 	Changed func()
+	// Left is told which targets have left, before their leaving is
+	// acknowledged.
+	Left    func(targets map[balsamproxy.TargetID]int64)
 	Log     zerolog.Logger
 	Metrics tally.Scope
 
@@ -76,6 +80,9 @@
 			Str("state", string(announcement.Target.State)).Int64("born", announcement.Born).
 			Int64("sequence", announcement.Sequence).Int("slots", announcement.Target.Slots).Send()
 		local.Changed()
+		if announcement.Target.State == balsamproxy.TargetDraining {
+			local.Left(local.Departed())
+		}
 	}
 	return nil
 }
@@ -93,6 +100,7 @@
 	event.Send()
 	if changed {
 		local.Changed()
+		local.Left(local.Departed())
 	}
 	return nil
 }
@@ -409,13 +417,34 @@
 		return refuse(balsamproxy.ReasonCancelled, "nobody waits for the answer")
 	}
 	refusal := refuse(balsamproxy.ReasonTargetFailed, err.Error())
-	if visit.refusesConnections() {
+	if visit.isDown() || visit.refusesConnections() {
 		visit.lost()
 		refusal.Reason = balsamproxy.ReasonTargetCrashed
+		if refusal.Outcome == balsamproxy.OutcomeMayHaveRun {
+			refusal.Crash = visit.crash()
+		}
 	}
 	return refusal
 }
 
+// isDown says whether the target is known to be down already.
+func (visit *visit) isDown() bool {
+	local := visit.local
+	local.mutex.Lock()
+	defer local.mutex.Unlock()
+	state, found := local.table.State(visit.target.ID)
+	return found && state.Down
+}
+
+// crash names the crash of this start of the target.
+func (visit *visit) crash() balsamproxy.CrashID {
+	local := visit.local
+	local.mutex.Lock()
+	defer local.mutex.Unlock()
+	state, _ := local.table.State(visit.target.ID)
+	return balsamproxy.CrashID(string(visit.target.ID) + "/" + strconv.FormatInt(state.Born, 10))
+}
+
 // lost takes the target out until it announces itself again.
 func (visit *visit) lost() {
 	local := visit.local
--- a/member.go
+++ b/member.go
@@ -67,4 +67,13 @@
 	Config Revision `cbor:"7,keyasint"`
 	// Homes are the groups of client accounts that the daemon is home of.
 	Homes []int `cbor:"8,keyasint"`
+	// Crashes are requests that were under way when a target crashed.
+	Crashes []Crash `cbor:"9,keyasint,omitempty"`
+}
+
+// Crash says that a request was under way when a target crashed.
+type Crash struct {
+	// Fingerprint names the contents of the request.
+	Fingerprint []byte  `cbor:"1,keyasint"`
+	ID          CrashID `cbor:"2,keyasint"`
 }
