Take tenures as soon as they are free; know targets again after a restart; shorten planned stops

Lists are read as they stand now, on demand; a home that cannot renew says so. Targets are written down with their starts and known again at once.

--- a/core/announced/table.go
+++ b/core/announced/table.go
@@ -193,3 +193,47 @@
 	})
 	return states
 }
+
+// Record is what is written down of one target, for a daemon that starts
+// again.
+type Record struct {
+	Target    balsamproxy.Target `json:"target"`
+	Born      int64              `json:"born"`
+	Sequence  int64              `json:"sequence"`
+	Withdrawn bool               `json:"withdrawn,omitempty"`
+}
+
+// Records returns what should be written down, in order of the ids.
+func (table *Table) Records() []Record {
+	records := make([]Record, 0, len(table.records))
+	for _, state := range table.States() {
+		held := table.records[state.Target.ID]
+		records = append(records, Record{
+			Target:    state.Target,
+			Born:      held.announcement.Born,
+			Sequence:  held.announcement.Sequence,
+			Withdrawn: held.withdrawn,
+		})
+	}
+	return records
+}
+
+// Recall takes what an earlier run of the daemon wrote down. What is known
+// already stays.
+func (table *Table) Recall(records []Record, now time.Time) {
+	for _, record := range records {
+		if _, found := table.records[record.Target.ID]; found {
+			continue
+		}
+		table.put(record.Target.ID, recalled(record, now))
+	}
+}
+
+func recalled(written Record, now time.Time) *record {
+	return &record{
+		announcement: balsamproxy.Announcement{Target: written.Target, Born: written.Born, Sequence: written.Sequence},
+		heardAt:      now,
+		withdrawn:    written.Withdrawn,
+		draining:     written.Target.State == balsamproxy.TargetDraining,
+	}
+}
--- a/core/announced/table_test.go
+++ b/core/announced/table_test.go
@@ -82,3 +82,23 @@
 	assert.Assert(t, table.Expire(time.Second, start.Add(time.Minute)))
 	assert.Equal(t, len(table.States()), 0)
 }
+
+func TestRecall(t *testing.T) {
+	var before, after announced.Table
+	for _, step := range []balsamproxy.Announcement{
+		announcement("a", 1, 1, balsamproxy.TargetReady), announcement("b", 2, 5, balsamproxy.TargetDraining),
+	} {
+		_, err := before.Announce(step, start)
+		assert.NilError(t, err)
+	}
+	after.Recall(before.Records(), start)
+	leaving := map[balsamproxy.TargetID]bool{}
+	for _, state := range after.States() {
+		leaving[state.Target.ID] = state.Leaving
+	}
+	assert.DeepEqual(t, leaving, map[balsamproxy.TargetID]bool{"a": true, "b": true})
+	_, err := after.Announce(announcement("b", 2, 4, balsamproxy.TargetReady), start)
+	assert.ErrorIs(t, err, announced.ErrLate)
+	_, err = after.Announce(announcement("b", 3, 1, balsamproxy.TargetReady), start)
+	assert.NilError(t, err)
+}
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -20,6 +21,7 @@
 
 	"balsamproxy"
 	"balsamproxy/core/allowance"
+	"balsamproxy/core/announced"
 	"balsamproxy/core/budget"
 	"balsamproxy/core/config"
 	"balsamproxy/core/evidence"
@@ -89,9 +91,12 @@
 	documents *documents
 	callers   *http1.Server
 
-	crashes  crashes
-	service  atomic.Pointer[balsamproxy.ServiceID]
+	crashes crashes
+	service atomic.Pointer[balsamproxy.ServiceID]
+	// leaving is set when the daemon stops, and closing when it takes no more
+	// calls of peers.
 	leaving  atomic.Bool
+	closing  atomic.Bool
 	wakeDial chan struct{}
 	fetches  chan balsamproxy.HostID
 }
@@ -145,7 +150,7 @@
 		Clock:   daemon.clock,
 		Dialect: daemon.platform.Dialect,
 		Changed: daemon.announce,
-		Left:    daemon.recordLeft,
+		Record:  daemon.recordTargets,
 		Log:     daemon.log,
 		Metrics: daemon.metrics,
 	}
@@ -263,7 +268,8 @@
 		DataCentre:  daemon.settings.DataCentre,
 		Incarnation: daemon.incarnation,
 		PeerAddress: daemon.settings.PeerAddress,
-		Leaving:     daemon.leaving.Load(),
+		Leaving:     daemon.closing.Load(),
+		Stopping:    daemon.leaving.Load(),
 		Targets:     daemon.local.Targets(),
 		Config:      daemon.documents.version(),
 		Homes:       daemon.registry.Held(),
@@ -271,11 +277,15 @@
 	}
 }
 
-// recordLeft writes down which targets have left, before that is acknowledged
-// to them if the store answers in time.
-func (daemon *Daemon) recordLeft(targets map[balsamproxy.TargetID]int64) {
-	if err := daemon.registry.RecordLeft(context.Background(), targets); err != nil {
-		daemon.log.Warn().Str("event", "left-targets-not-recorded").Err(err).Send()
+// recordTargets writes down what the targets of this host said, before that
+// is acknowledged to them if the store answers in time.
+func (daemon *Daemon) recordTargets(records []announced.Record) {
+	value, err := json.Marshal(records)
+	if err == nil {
+		err = daemon.registry.RecordTargets(context.Background(), value)
+	}
+	if err != nil {
+		daemon.log.Warn().Str("event", "targets-not-recorded").Err(err).Send()
 	}
 }
 
--- a/io/mesh/run.go
+++ b/io/mesh/run.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
 	"time"
 
 	"balsamproxy"
+	"balsamproxy/core/announced"
 	"balsamproxy/core/settings"
 	"balsamproxy/task"
 )
@@ -16,14 +18,18 @@
 	// dialInterval is the time between two rounds of dials.
 	dialInterval = 250 * time.Millisecond
 	dialTimeout  = 1200 * time.Millisecond
-	// leftWait bounds how long a daemon that starts waits for the record of
-	// targets that left.
-	leftWait = 2 * time.Second
-	// noticeTime is how long peers have to learn that this daemon leaves.
-	noticeTime = 400 * time.Millisecond
+	// recallWait bounds how long a daemon that starts waits for the record of
+	// its targets.
+	recallWait = 2 * time.Second
+	// servePart is the part of the grace in which calls of other daemons are
+	// taken as before: the targets of this host have not left.
+	servePart = 0.2
+	// noticeTime is how long peers then have to learn that this daemon leaves.
+	noticeTime = 200 * time.Millisecond
 	// acceptPart is the part of the grace in which new connections are taken:
-	// callers ask once a second whether the daemon is ready.
-	acceptPart = 0.5
+	// callers are asked elsewhere after two questions, a second apart, that
+	// found the daemon not ready.
+	acceptPart = 0.4
 	// finishPart is the part of the grace after which what still runs is
 	// given up.
 	finishPart = 0.94
@@ -102,7 +108,7 @@
 	running.startPart(func(ctx context.Context) error { return daemon.callers.Serve(ctx, sockets[0]) })
 	running.serve(daemon.links.HTTPServer(), sockets[1])
 	running.startPart(func(ctx context.Context) error {
-		daemon.recallLeft(ctx)
+		daemon.recallTargets(ctx)
 		running.serve(newServer(daemon.platform.Announcements(daemon.local)), sockets[2])
 		return nil
 	})
@@ -137,25 +143,29 @@
 	})
 }
 
-// recallLeft learns which targets said to an earlier run of this daemon that
-// they leave, before any announcement is taken.
-func (daemon *Daemon) recallLeft(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leftWait)
+// recallTargets learns what the targets of this host said to an earlier run of
+// this daemon, before any announcement is taken.
+func (daemon *Daemon) recallTargets(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, recallWait)
 	defer cancel()
 	for ctx.Err() == nil {
-		targets, err := daemon.registry.Left(ctx)
+		value, err := daemon.registry.Targets(ctx)
 		if err != nil {
 			sleep(ctx, storePauseMin)
 			continue
 		}
-		for target, born := range targets {
-			if err := daemon.local.Withdraw(target, born); err != nil {
-				daemon.log.Error().Str("event", "target-not-withdrawn").Err(err).Send()
-			}
+		if value == nil {
+			return
+		}
+		var records []announced.Record
+		if err := json.Unmarshal(value, &records); err != nil {
+			daemon.log.Error().Str("event", "record-invalid").Str("record", "targets").Err(err).Send()
+			return
 		}
+		daemon.local.Recall(records)
 		return
 	}
-	daemon.log.Warn().Str("event", "left-targets-unknown").Send()
+	daemon.log.Warn().Str("event", "targets-not-recalled").Send()
 }
 
 // dial opens links to all hosts that are known.
@@ -207,8 +217,10 @@
 	daemon.leaving.Store(true)
 	daemon.log.Info().Str("event", "stopping").Int64("under-way", daemon.callers.UnderWay()).Send()
 	daemon.callers.Leave()
-	daemon.links.Leave()
 	daemon.registry.Leave(ctx)
+	sleep(ctx, time.Until(began.Add(time.Duration(float64(grace)*servePart))))
+	daemon.closing.Store(true)
+	daemon.links.Leave()
 	daemon.announce()
 	sleep(ctx, noticeTime)
 	finished := daemon.links.Refuse()
--- a/io/mesh/view.go
+++ b/io/mesh/view.go
@@ -170,7 +170,7 @@
 	defer view.mutex.Unlock()
 	hosts := []balsamproxy.HostID{view.host}
 	for host, status := range view.live {
-		if !status.Leaving {
+		if !status.Leaving && !status.Stopping {
 			hosts = append(hosts, host)
 		}
 	}
--- a/io/registry/list.go
+++ b/io/registry/list.go
@@ -15,6 +15,7 @@
 
 // RunLists reads all records again and again until ctx ends.
 func (registry *Registry) RunLists(ctx context.Context) error {
+	relist := registry.relists()
 	for {
 		wait := listInterval
 		if err := registry.list(ctx); err != nil {
@@ -29,18 +30,31 @@
 			timer.Stop()
 			return ctx.Err()
 		case <-timer.C:
+		case <-relist:
+			timer.Stop()
 		}
 	}
 }
 
-// list reads all records, the first time as they stand, later as they were
-// some seconds ago.
-func (registry *Registry) list(ctx context.Context) error {
-	read := registry.Store.StaleRange
-	if !registry.Ready() || registry.urgent() {
-		read = registry.Store.Range
+func (registry *Registry) relists() chan struct{} {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	if registry.relist == nil {
+		registry.relist = make(chan struct{}, 1)
+	}
+	return registry.relist
+}
+
+func (registry *Registry) wakeLists() {
+	select {
+	case registry.relists() <- struct{}{}:
+	default:
 	}
-	snapshot, err := read(ctx, registry.Prefix)
+}
+
+// list reads all records.
+func (registry *Registry) list(ctx context.Context) error {
+	snapshot, err := registry.Store.Range(ctx, registry.Prefix)
 	if err != nil {
 		return err
 	}
@@ -103,10 +117,15 @@
 	registry.members = members
 	registry.missed = missed
 	registry.tenures = tenures
-	if len(tenures) == allowance.Groups || !registry.listed {
-		registry.freeSince = registry.Clock.Boot()
-	}
 	registry.listed = true
+	now := registry.Clock.Boot()
+	for group := range allowance.Group(allowance.Groups) {
+		if _, stands := tenures[group]; stands {
+			delete(registry.freeSince, group)
+			continue
+		}
+		registry.freeLocked(group, now)
+	}
 	list := make([]balsamproxy.Member, 0, len(members))
 	for _, member := range members {
 		list = append(list, member)
@@ -114,6 +133,16 @@
 	return list
 }
 
+// freeLocked notes that no tenure of a group stands, unless that is known.
+func (registry *Registry) freeLocked(group allowance.Group, now balsamproxy.BootTime) {
+	if registry.freeSince == nil {
+		registry.freeSince = map[allowance.Group]balsamproxy.BootTime{}
+	}
+	if _, known := registry.freeSince[group]; !known {
+		registry.freeSince[group] = now
+	}
+}
+
 // Ready says whether the records have been read once.
 func (registry *Registry) Ready() bool {
 	registry.mutex.Lock()
@@ -136,8 +165,6 @@
 		}
 		found, stands := registry.tenures[group]
 		switch {
-		case !stands && homes.Rank(group, registry.Host, present) <= 1:
-			return true
 		case stands && homes.Successor(group, registry.Host, found.Host, present):
 			return true
 		}
@@ -179,9 +206,12 @@
 		Host:        registry.Host,
 		Incarnation: registry.Incarnation,
 		Present:     present,
-		Free:        registry.Clock.Boot().Sub(registry.freeSince),
+		Free:        registry.Clock.Boot().Sub(registry.freeSince[group]),
 	}
 	found, stands := registry.tenures[group]
+	if _, known := registry.freeSince[group]; !stands && !known {
+		return balsamproxy.StoreSwap{}, false
+	}
 	if stands {
 		candidate.Tenure = &found.Tenure
 	}
@@ -199,6 +229,7 @@
 
 // forget lets a tenure that another daemon took be read anew first.
 func (registry *Registry) forget(group allowance.Group) {
+	defer registry.wakeLists()
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	if registry.tenures == nil {
@@ -217,6 +248,7 @@
 	if registry.tenures == nil {
 		registry.tenures = map[allowance.Group]tenure{}
 	}
+	delete(registry.freeSince, group)
 	own := homes.Tenure{Host: registry.Host, Incarnation: registry.Incarnation}
 	registry.tenures[group] = tenure{Tenure: own, revision: revision}
 	registry.mutex.Unlock()
@@ -231,7 +263,8 @@
 	for group, found := range registry.tenures {
 		if found.Host == host {
 			delete(registry.tenures, group)
-			registry.freeSince = registry.Clock.Boot()
+			delete(registry.freeSince, group)
+			registry.freeLocked(group, registry.Clock.Boot())
 		}
 	}
 }
@@ -276,15 +309,3 @@
 	member, found := registry.members[host]
 	return member, found
 }
-
-// Left reads which targets of this host have left.
-func (registry *Registry) Left(ctx context.Context) (map[balsamproxy.TargetID]int64, error) {
-	entry, err := registry.Store.Get(ctx, registry.leftKey())
-	if errors.Is(err, balsamproxy.ErrStoreNotFound) {
-		return nil, nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	return registry.takeLeft(entry)
-}
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -22,23 +22,24 @@
 	// leaseTime is the time to live of the records. A store that is away for
 	// a moment must not end them, and a home that is gone for good is replaced
 	// after it.
-	leaseTime = 4 * time.Second
+	leaseTime = 3 * time.Second
 	// leaseMargin is how much earlier a daemon takes its own lease for ended.
-	leaseMargin = 300 * time.Millisecond
+	leaseMargin = 250 * time.Millisecond
 	// renewInterval leaves two tries before a lease ends.
-	renewInterval = 1200 * time.Millisecond
-	// listInterval is the time between two reads of all records.
-	listInterval = 2 * time.Second
+	renewInterval = 900 * time.Millisecond
+	// listInterval is the time between two reads of all records. Links tell
+	// sooner what has changed.
+	listInterval = 4 * time.Second
 	// urgentInterval is the time between two reads while a record is missing.
 	urgentInterval = 400 * time.Millisecond
 	stepInterval   = 100 * time.Millisecond
 	// missedMax is how many lists in a row a host may be missing from before
 	// it is taken for gone.
 	missedMax = 2
-	// leftTime is how long the store remembers the targets of a host that
-	// have left: longer than a target that leaves goes on serving.
-	leftTime    = 60 * time.Second
-	leftTimeout = 400 * time.Millisecond
+	// targetsTime is how long the store remembers the targets of a host: the
+	// longest time to live that it gives.
+	targetsTime    = 10 * time.Minute
+	targetsTimeout = 400 * time.Millisecond
 )
 
 // Store is what the registry needs of the platform's store.
@@ -76,8 +77,10 @@
 	tenures   map[allowance.Group]tenure
 	members   map[balsamproxy.HostID]balsamproxy.Member
 	missed    map[balsamproxy.HostID]int
-	freeSince balsamproxy.BootTime
+	freeSince map[allowance.Group]balsamproxy.BootTime
 	listed    bool
+	// relist asks for the next list at once.
+	relist chan struct{}
 	// reached tells whether the last call reached the store.
 	reached bool
 }
@@ -95,8 +98,8 @@
 
 func (registry *Registry) homesPrefix() balsamproxy.StoreKey { return registry.Prefix + "homes/" }
 
-func (registry *Registry) leftKey() balsamproxy.StoreKey {
-	return registry.Prefix + "left/" + balsamproxy.StoreKey(registry.Host)
+func (registry *Registry) targetsKey() balsamproxy.StoreKey {
+	return registry.Prefix + "targets/" + balsamproxy.StoreKey(registry.Host)
 }
 
 func (registry *Registry) homeKey(group allowance.Group) balsamproxy.StoreKey {
@@ -118,6 +121,7 @@
 }
 
 func (registry *Registry) step(ctx context.Context) {
+	registry.dropLapsed()
 	err := registry.keepLease(ctx)
 	if err == nil {
 		err = registry.publish(ctx)
@@ -189,6 +193,26 @@
 	registry.HomesChanged()
 }
 
+// dropLapsed gives tenures up whose lease may have ended while the store could
+// not be reached, so that others learn of it.
+func (registry *Registry) dropLapsed() {
+	now := registry.Clock.Boot()
+	registry.mutex.Lock()
+	lapsed := len(registry.held) > 0 && now.Sub(registry.renewedAt) >= leaseTime-leaseMargin
+	if lapsed {
+		for group := range registry.held {
+			delete(registry.tenures, group)
+			registry.freeLocked(group, now)
+		}
+		registry.held = nil
+	}
+	registry.mutex.Unlock()
+	if lapsed {
+		registry.Log.Warn().Str("event", "tenures-lapsed").Send()
+		registry.HomesChanged()
+	}
+}
+
 // publish writes the own record under the lease.
 func (registry *Registry) publish(ctx context.Context) error {
 	registry.mutex.Lock()
@@ -236,42 +260,35 @@
 	registry.held = nil
 	registry.lease = 0
 	registry.mutex.Unlock()
-	registry.HomesChanged()
-	if lease == 0 {
-		return
-	}
-	if err := registry.Store.Revoke(ctx, lease); err != nil {
-		registry.Log.Warn().Str("event", "lease-not-revoked").Err(err).Send()
+	if lease != 0 {
+		if err := registry.Store.Revoke(ctx, lease); err != nil {
+			registry.Log.Warn().Str("event", "lease-not-revoked").Err(err).Send()
+		}
 	}
+	registry.HomesChanged()
 }
 
-// left is the record of the targets of a host that have left.
-type left struct {
-	Targets map[balsamproxy.TargetID]int64 `json:"targets"`
-}
-
-// RecordLeft writes down which targets have left, so that a daemon that starts
-// again gives them no work.
-func (registry *Registry) RecordLeft(ctx context.Context, targets map[balsamproxy.TargetID]int64) error {
-	ctx, cancel := context.WithTimeout(ctx, leftTimeout)
+// RecordTargets writes down what the targets of this host said last, so that a
+// daemon that starts again knows them, and gives none that leaves any work.
+func (registry *Registry) RecordTargets(ctx context.Context, records []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, targetsTimeout)
 	defer cancel()
-	lease, err := registry.Store.Grant(ctx, leftTime)
+	lease, err := registry.Store.Grant(ctx, targetsTime)
 	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(left{Targets: targets})
-	if err != nil {
-		return err
-	}
-	_, err = registry.replace(ctx, balsamproxy.StoreSwap{Key: registry.leftKey(), Value: value, Lease: lease})
+	_, err = registry.replace(ctx, balsamproxy.StoreSwap{Key: registry.targetsKey(), Value: records, Lease: lease})
 	return err
 }
 
-// takeLeft reads what an earlier run wrote down.
-func (registry *Registry) takeLeft(entry balsamproxy.StoreEntry) (map[balsamproxy.TargetID]int64, error) {
-	var record left
-	err := json.Unmarshal(entry.Value, &record)
-	return record.Targets, err
+// Targets reads what an earlier run of this daemon wrote down; nil if it wrote
+// nothing.
+func (registry *Registry) Targets(ctx context.Context) ([]byte, error) {
+	entry, err := registry.Store.Get(ctx, registry.targetsKey())
+	if errors.Is(err, balsamproxy.ErrStoreNotFound) {
+		return nil, nil
+	}
+	return entry.Value, err
 }
 
 func hostOf(key, prefix balsamproxy.StoreKey) balsamproxy.HostID {
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -39,9 +39,9 @@
 	Dialect balsamproxy.Dialect
 	// Changed is called when what peers should know of a target changes.
 	Changed func()
-	// Left is told which targets have left, before their leaving is
-	// acknowledged.
-	Left    func(targets map[balsamproxy.TargetID]int64)
+	// Record writes down what the targets said, before a change of it is
+	// acknowledged to them.
+	Record  func(records []announced.Record)
 	Log     zerolog.Logger
 	Metrics tally.Scope
 
@@ -80,9 +80,7 @@
 			Str("state", string(announcement.Target.State)).Int64("born", announcement.Born).
 			Int64("sequence", announcement.Sequence).Int("slots", announcement.Target.Slots).Send()
 		local.Changed()
-		if announcement.Target.State == balsamproxy.TargetDraining {
-			local.Left(local.Departed())
-		}
+		local.Record(local.records())
 	}
 	return nil
 }
@@ -100,7 +98,7 @@
 	event.Send()
 	if changed {
 		local.Changed()
-		local.Left(local.Departed())
+		local.Record(local.records())
 	}
 	return nil
 }
@@ -186,17 +184,23 @@
 	return targets
 }
 
-// Departed returns the targets that said that they leave, with their starts.
-func (local *Local) Departed() map[balsamproxy.TargetID]int64 {
+func (local *Local) records() []announced.Record {
 	local.mutex.Lock()
 	defer local.mutex.Unlock()
-	departed := map[balsamproxy.TargetID]int64{}
-	for _, state := range local.table.States() {
-		if state.Leaving {
-			departed[state.Target.ID] = state.Born
-		}
+	return local.table.Records()
+}
+
+// Recall takes what an earlier run of the daemon wrote down.
+func (local *Local) Recall(records []announced.Record) {
+	now := local.Clock.Now()
+	local.mutex.Lock()
+	local.table.Recall(records, now)
+	for _, record := range records {
+		local.openLocked(record.Target.ID, now)
 	}
-	return departed
+	local.mutex.Unlock()
+	local.Log.Info().Str("event", "targets-recalled").Int("targets", len(records)).Send()
+	local.Changed()
 }
 
 // CallFailed notes that a call which a target of this host made has failed.
--- a/member.go
+++ b/member.go
@@ -61,8 +61,10 @@
 	// PeerAddress is where other daemons reach this one, as host:port.
 	PeerAddress string `cbor:"4,keyasint"`
 	// Leaving says that the daemon takes no new calls.
-	Leaving bool     `cbor:"5,keyasint,omitempty"`
-	Targets []Target `cbor:"6,keyasint"`
+	Leaving bool `cbor:"5,keyasint,omitempty"`
+	// Stopping says that the daemon takes no duties.
+	Stopping bool     `cbor:"10,keyasint,omitempty"`
+	Targets  []Target `cbor:"6,keyasint"`
 	// Config is the version of the configuration in force.
 	Config Revision `cbor:"7,keyasint"`
 	// Homes are the groups of client accounts that the daemon is home of.
