One daemon of each data centre reads the store for its neighbours

Evidence is passed on with its age in answer to a question, which also lets a daemon go on that the store turns away.

--- /dev/null
+++ b/core/evidence/readers_test.go
@@ -0,0 +1,19 @@
+package evidence_test
+
+import (
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"balsamproxy"
+	"balsamproxy/core/evidence"
+)
+
+func TestReadersAgree(t *testing.T) {
+	hosts := []balsamproxy.HostID{"a", "b", "c", "d"}
+	reversed := slices.Clone(hosts)
+	slices.Reverse(reversed)
+	assert.DeepEqual(t, evidence.Readers(hosts), evidence.Readers(reversed))
+	assert.Equal(t, len(evidence.Readers(nil)), 0)
+}
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -138,7 +138,7 @@
 	daemon.budget.Ratio = settings.RepeatRatio * repeatPart
 	daemon.budget.SetMost(settings.RepeatSlack * slackPart)
 	daemon.crashes.changed = daemon.announce
-	daemon.view = newView(settings.Host, &daemon.table, log, time.Now)
+	daemon.view = newView(settings.Host, settings.DataCentre, &daemon.table, log, time.Now)
 	daemon.wirePeers()
 	daemon.wireStore()
 	daemon.wireWay()
@@ -201,6 +201,8 @@
 		log:      daemon.log,
 	}
 	daemon.documents.serve(daemon.links)
+	daemon.documents.relay = &relay{documents: daemon.documents, pool: daemon.pool, view: daemon.view}
+	daemon.documents.relay.serve(daemon.links)
 	daemon.spender = &lending.Spender{
 		Host:    daemon.settings.Host,
 		Config:  &daemon.current,
--- a/io/mesh/documents.go
+++ b/io/mesh/documents.go
@@ -15,12 +15,13 @@
 )
 
 const (
-	// changesWait bounds one wait for changes. Each wait confirms the
-	// configuration, so three fit into the time for which evidence holds.
-	changesWait = 1100 * time.Millisecond
+	// changesWait bounds one wait for changes. Evidence is as old as the
+	// beginning of the last wait that has ended, so up to two waits, and peers
+	// that ask for it add the time between their questions.
+	changesWait = 700 * time.Millisecond
 	// storePauseMin and storePauseMax bound the wait after a failed call.
 	storePauseMin = 50 * time.Millisecond
-	storePauseMax = 400 * time.Millisecond
+	storePauseMax = 700 * time.Millisecond
 	// fetchTimeout bounds the question to a peer for its configuration.
 	fetchTimeout = time.Second
 
@@ -40,6 +41,7 @@
 	evidence *evidence.Evidence
 	clock    balsamproxy.BootClock
 	changed  func()
+	relay    *relay
 	log      zerolog.Logger
 
 	mutex sync.Mutex
@@ -52,6 +54,11 @@
 	after := balsamproxy.Revision(0)
 	reachable := true
 	for ctx.Err() == nil {
+		if documents.relay.follow(ctx) {
+			after = 0
+			sleep(ctx, relayInterval)
+			continue
+		}
 		var err error
 		after, err = documents.step(ctx, after)
 		if err == nil {
@@ -70,6 +77,7 @@
 			documents.log.Warn().Str("event", "dependency-lost").Str("dependency", "store-configuration").Err(err).Send()
 		}
 		reachable = false
+		documents.relay.help(ctx)
 		sleep(ctx, pause)
 		pause = min(2*pause, storePauseMax)
 	}
--- a/io/mesh/view.go
+++ b/io/mesh/view.go
@@ -18,7 +18,10 @@
 // view is what this daemon knows of the others: their addresses from the
 // store and from greetings, all else from their links.
 type view struct {
-	host  balsamproxy.HostID
+	host balsamproxy.HostID
+	// dataCentre is the data centre of this host.
+	dataCentre balsamproxy.DataCentreID
+
 	table *membership.Table
 	log   zerolog.Logger
 	now   func() time.Time
@@ -36,9 +39,12 @@
 	at      time.Time
 }
 
-func newView(host balsamproxy.HostID, table *membership.Table, log zerolog.Logger, now func() time.Time) *view {
+func newView(host balsamproxy.HostID, dataCentre balsamproxy.DataCentreID, table *membership.Table, log zerolog.Logger, now func() time.Time) *view {
 	return &view{
-		host:    host,
+		host: host,
+
+		dataCentre: dataCentre,
+
 		table:   table,
 		log:     log,
 		now:     now,
@@ -177,6 +183,19 @@
 	return hosts
 }
 
+// neighbours returns the hosts of the own data centre that can take duties.
+func (view *view) neighbours() []balsamproxy.HostID {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	hosts := []balsamproxy.HostID{view.host}
+	for host, status := range view.live {
+		if status.DataCentre == view.dataCentre && !status.Leaving && !status.Stopping && status.Config > 0 {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
 // home returns the host that said that it is home of a group.
 func (view *view) home(group allowance.Group) (balsamproxy.HostID, bool) {
 	view.mutex.Lock()
--- a/io/registry/list.go
+++ b/io/registry/list.go
@@ -20,7 +20,7 @@
 		wait := listInterval
 		if err := registry.list(ctx); err != nil {
 			registry.Log.Debug().Str("event", "list-failed").Err(err).Send()
-			wait = urgentInterval
+			wait = failedInterval
 		} else if registry.urgent() {
 			wait = urgentInterval
 		}
@@ -117,8 +117,12 @@
 	registry.members = members
 	registry.missed = missed
 	registry.tenures = tenures
-	registry.listed = true
 	now := registry.Clock.Boot()
+	if !registry.listed {
+		// Links to the others are not there yet, so the ranks are not known.
+		now += balsamproxy.BootTime(settleTime)
+	}
+	registry.listed = true
 	for group := range allowance.Group(allowance.Groups) {
 		if _, stands := tenures[group]; stands {
 			delete(registry.freeSince, group)
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -32,7 +32,15 @@
 	listInterval = 4 * time.Second
 	// urgentInterval is the time between two reads while a record is missing.
 	urgentInterval = 400 * time.Millisecond
+	// settleTime is how long a daemon that starts leaves free tenures alone,
+	// while it dials the others.
+	settleTime = 700 * time.Millisecond
+	// failedInterval is the wait after a read that failed.
+	failedInterval = time.Second
 	stepInterval   = 100 * time.Millisecond
+	// stepMax bounds the wait after calls that failed: a store that is back
+	// finds the records again within two seconds.
+	stepMax = 800 * time.Millisecond
 	// missedMax is how many lists in a row a host may be missing from before
 	// it is taken for gone.
 	missedMax = 2
@@ -108,19 +116,24 @@
 
 // Run keeps the records until ctx ends.
 func (registry *Registry) Run(ctx context.Context) error {
-	ticker := time.NewTicker(stepInterval)
-	defer ticker.Stop()
+	wait := stepInterval
 	for {
-		registry.step(ctx)
+		if registry.step(ctx) == nil {
+			wait = stepInterval
+		} else {
+			wait = min(2*wait, stepMax)
+		}
+		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return ctx.Err()
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
 
-func (registry *Registry) step(ctx context.Context) {
+func (registry *Registry) step(ctx context.Context) error {
 	registry.dropLapsed()
 	err := registry.keepLease(ctx)
 	if err == nil {
@@ -130,6 +143,7 @@
 		err = registry.takeTenures(ctx)
 	}
 	registry.note(err)
+	return err
 }
 
 // note logs when the store is lost or regained.
