--- a/io/registry/list.go
+++ b/io/registry/list.go
@@ -16,8 +16,14 @@
 // RunLists reads all records again and again until ctx ends.
 func (registry *Registry) RunLists(ctx context.Context) error {
 	relist := registry.relists()
+	first := true
 	for {
 		wait := listInterval
+		if first {
+			// Daemons that started together did not find each other yet.
+			wait = settleTime / 2
+			first = false
+		}
 		if err := registry.list(ctx); err != nil {
 			registry.Log.Debug().Str("event", "list-failed").Err(err).Send()
 			wait = failedInterval
@@ -178,16 +184,15 @@
 
 // takeTenures takes the tenures whose turn it is to be taken by this daemon.
 func (registry *Registry) takeTenures(ctx context.Context) error {
-	present := registry.Present()
 	for group := range allowance.Group(allowance.Groups) {
-		swap, due := registry.dueSwap(group, present)
+		swap, due := registry.dueSwap(group, registry.Present())
 		if !due {
 			continue
 		}
 		revision, err := registry.Store.Swap(ctx, swap)
 		if errors.Is(err, balsamproxy.ErrStoreConflict) {
 			registry.forget(group)
-			continue
+			return nil
 		}
 		if errors.Is(err, balsamproxy.ErrStoreLeaseLost) {
 			registry.loseLease(err)
