--- a/core/announced/table.go
+++ b/core/announced/table.go
@@ -115,10 +115,14 @@
 }
 
 // Withdraw takes a target out until it starts again. A start of zero means
-// the one that is known.
+// the one that is known; of a target that is not known, all starts until now,
+// since an announcement of it may still be under way.
 func (table *Table) Withdraw(id balsamproxy.TargetID, born int64, now time.Time) (bool, error) {
 	held, found := table.records[id]
 	if !found {
+		if born == 0 {
+			born = now.UnixMilli()
+		}
 		held = &record{announcement: balsamproxy.Announcement{Target: balsamproxy.Target{ID: id}, Born: born}}
 		table.put(id, held)
 	}
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -283,8 +283,14 @@
 			return placing.Failed
 		}
 		return placing.Dropped
-	default:
+	case balsamproxy.ReasonTargetFailed:
+		return placing.Failed
+	case balsamproxy.ReasonTargetCrashed:
 		return placing.Lost
+	default:
+		// A link that broke or a host that leaves tells nothing of the target;
+		// a host that stays away is no longer among those to choose from.
+		return placing.Dropped
 	}
 }
 
--- a/io/mesh/crashes.go
+++ b/io/mesh/crashes.go
@@ -10,10 +10,11 @@
 
 const (
 	// toldFor is how long peers are told of a crash: a link that was lost may
-	// need some seconds to be there again.
-	toldFor = 10 * time.Second
-	// toldMax bounds the crashes that peers are told of.
-	toldMax = 512
+	// need a second to be there again.
+	toldFor = 2 * time.Second
+	// toldMax bounds the crashes that peers are told of: about what a target
+	// has under way.
+	toldMax = 128
 )
 
 // crashes keeps the requests that crashed targets anywhere in the fleet.
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -98,7 +98,9 @@
 	leaving  atomic.Bool
 	closing  atomic.Bool
 	wakeDial chan struct{}
-	fetches  chan balsamproxy.HostID
+	// wakeAnnounce is signalled when peers should be told of a change.
+	wakeAnnounce chan struct{}
+	fetches      chan balsamproxy.HostID
 }
 
 // NewMetrics returns a scope with the handler that serves it.
@@ -126,7 +128,9 @@
 		log:         log,
 		incarnation: string(fleet.IDs{}.NewSpan()),
 		wakeDial:    make(chan struct{}, 1),
-		fetches:     make(chan balsamproxy.HostID, 1),
+
+		wakeAnnounce: make(chan struct{}, 1),
+		fetches:      make(chan balsamproxy.HostID, 1),
 	}
 	daemon.metrics, daemon.closer, daemon.handler = NewMetrics(log)
 	daemon.platform = platform(daemon.metrics)
@@ -271,7 +275,7 @@
 		Incarnation: daemon.incarnation,
 		PeerAddress: daemon.settings.PeerAddress,
 		Leaving:     daemon.closing.Load(),
-		Stopping:    daemon.leaving.Load(),
+		Stopping:    daemon.leaving.Load() || !daemon.registry.Reached(),
 		Targets:     daemon.local.Targets(),
 		Config:      daemon.documents.version(),
 		Homes:       daemon.registry.Held(),
@@ -291,10 +295,30 @@
 	}
 }
 
-// announce tells this daemon's own table and all peers what has changed.
+// announcePause is the least time between two announcements to peers, so that
+// many changes at once make one message.
+const announcePause = 40 * time.Millisecond
+
+// announce tells this daemon's own table what has changed, and soon all peers.
 func (daemon *Daemon) announce() {
 	daemon.view.own(daemon.status())
-	daemon.links.Announce()
+	select {
+	case daemon.wakeAnnounce <- struct{}{}:
+	default:
+	}
+}
+
+// runAnnounce tells peers what has changed until ctx ends.
+func (daemon *Daemon) runAnnounce(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-daemon.wakeAnnounce:
+			daemon.links.Announce()
+			sleep(ctx, announcePause)
+		}
+	}
 }
 
 func (daemon *Daemon) greeted(status balsamproxy.Status) {
@@ -305,9 +329,7 @@
 func (daemon *Daemon) learned(status balsamproxy.Status) {
 	daemon.view.learn(status)
 	daemon.crashes.learn(status.Crashes, daemon.clock.Now())
-	if len(status.Homes) == 0 {
-		daemon.registry.Released(status.Host)
-	}
+	daemon.registry.Learn(status)
 	if status.Config > daemon.documents.version() {
 		select {
 		case daemon.fetches <- status.Host:
--- a/io/mesh/run.go
+++ b/io/mesh/run.go
@@ -103,6 +103,7 @@
 	running.startPart(daemon.registry.Run)
 	running.startPart(daemon.registry.RunLists)
 	running.startPart(daemon.local.Run)
+	running.startPart(daemon.runAnnounce)
 	running.startPart(running.dial)
 	running.startPart(running.fetch)
 	running.startPart(func(ctx context.Context) error { return daemon.callers.Serve(ctx, sockets[0]) })
--- a/io/registry/list.go
+++ b/io/registry/list.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -18,7 +19,7 @@
 	relist := registry.relists()
 	first := true
 	for {
-		wait := listInterval
+		wait := listInterval + time.Duration(len(registry.Present()))*listPerHost
 		if first {
 			// Daemons that started together did not find each other yet.
 			wait = settleTime / 2
@@ -189,13 +190,18 @@
 		if !due {
 			continue
 		}
+		lease, err := registry.tenureLease(ctx)
+		if err != nil {
+			return err
+		}
+		swap.Lease = lease
 		revision, err := registry.Store.Swap(ctx, swap)
 		if errors.Is(err, balsamproxy.ErrStoreConflict) {
 			registry.forget(group)
 			return nil
 		}
 		if errors.Is(err, balsamproxy.ErrStoreLeaseLost) {
-			registry.loseLease(err)
+			registry.loseTenures(err)
 		}
 		if err != nil {
 			return err
@@ -208,7 +214,7 @@
 func (registry *Registry) dueSwap(group allowance.Group, present []balsamproxy.HostID) (balsamproxy.StoreSwap, bool) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
-	if _, holds := registry.held[group]; holds || registry.leaving || !registry.listed || registry.lease == 0 {
+	if _, holds := registry.held[group]; holds || registry.leaving || !registry.listed {
 		return balsamproxy.StoreSwap{}, false
 	}
 	candidate := homes.Candidate{
@@ -232,7 +238,7 @@
 		return balsamproxy.StoreSwap{}, false
 	}
 	return balsamproxy.StoreSwap{
-		Key: registry.homeKey(group), Value: value, Expected: found.revision, Lease: registry.lease,
+		Key: registry.homeKey(group), Value: value, Expected: found.revision,
 	}, true
 }
 
@@ -265,17 +271,25 @@
 	registry.HomesChanged()
 }
 
-// Released lets this daemon know that another one has given a tenure up.
-func (registry *Registry) Released(host balsamproxy.HostID) {
+// Learn takes what a daemon says of its tenures: lists of the records are
+// rare, and links tell at once who took a tenure or gave it up.
+func (registry *Registry) Learn(status balsamproxy.Status) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	for group, found := range registry.tenures {
-		if found.Host == host {
+		if found.Host == status.Host && !slices.Contains(status.Homes, int(group)) {
 			delete(registry.tenures, group)
-			delete(registry.freeSince, group)
 			registry.freeLocked(group, registry.Clock.Boot())
 		}
 	}
+	for _, home := range status.Homes {
+		group := allowance.Group(home)
+		if registry.tenures == nil {
+			registry.tenures = map[allowance.Group]tenure{}
+		}
+		registry.tenures[group] = tenure{Tenure: homes.Tenure{Host: status.Host, Incarnation: status.Incarnation}}
+		delete(registry.freeSince, group)
+	}
 }
 
 // Holds says whether this daemon is home of a group at an instant, and since
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -19,8 +19,13 @@
 )
 
 const (
-	// leaseTime is the time to live of the records. A store that is away for
-	// a moment must not end them, and a home that is gone for good is replaced
+	// hostLeaseTime is the time to live of the record of a host. Others learn
+	// from their links sooner that a host is gone.
+	hostLeaseTime = 20 * time.Second
+	// hostRenewInterval leaves two tries before that lease ends.
+	hostRenewInterval = 6 * time.Second
+	// leaseTime is the time to live of tenures. A store that is away for a
+	// moment must not end them, and a home that is gone for good is replaced
 	// after it.
 	leaseTime = 3 * time.Second
 	// leaseMargin is how much earlier a daemon takes its own lease for ended.
@@ -29,18 +34,21 @@
 	renewInterval = 900 * time.Millisecond
 	// listInterval is the time between two reads of all records. Links tell
 	// sooner what has changed.
-	listInterval = 4 * time.Second
+	listInterval = 8 * time.Second
+	// listPerHost is added for each host, so that all daemons together read
+	// as often in a large fleet as in a small one.
+	listPerHost = 300 * time.Millisecond
 	// urgentInterval is the time between two reads while a record is missing.
 	urgentInterval = 400 * time.Millisecond
 	// settleTime is how long a daemon that starts leaves free tenures alone,
 	// while it dials the others.
 	settleTime = 700 * time.Millisecond
 	// failedInterval is the wait after a read that failed.
-	failedInterval = time.Second
+	failedInterval = 2 * time.Second
 	stepInterval   = 100 * time.Millisecond
 	// stepMax bounds the wait after calls that failed: a store that is back
 	// finds the records again within two seconds.
-	stepMax = 800 * time.Millisecond
+	stepMax = 1500 * time.Millisecond
 	// missedMax is how many lists in a row a host may be missing from before
 	// it is taken for gone.
 	missedMax = 2
@@ -75,12 +83,14 @@
 	Log          zerolog.Logger
 
 	mutex sync.Mutex
-	// lease and what follows describe the own records.
-	lease     balsamproxy.LeaseID
-	renewedAt balsamproxy.BootTime
-	published balsamproxy.Revision
-	held      map[allowance.Group]balsamproxy.BootTime
-	leaving   bool
+	// hostLease holds the record of the host, and lease the tenures.
+	hostLease     balsamproxy.LeaseID
+	hostRenewedAt balsamproxy.BootTime
+	lease         balsamproxy.LeaseID
+	renewedAt     balsamproxy.BootTime
+	published     balsamproxy.Revision
+	held          map[allowance.Group]balsamproxy.BootTime
+	leaving       bool
 	// tenures are the tenures that the store showed last.
 	tenures   map[allowance.Group]tenure
 	members   map[balsamproxy.HostID]balsamproxy.Member
@@ -135,7 +145,7 @@
 
 func (registry *Registry) step(ctx context.Context) error {
 	registry.dropLapsed()
-	err := registry.keepLease(ctx)
+	err := registry.keepLeases(ctx)
 	if err == nil {
 		err = registry.publish(ctx)
 	}
@@ -148,13 +158,15 @@
 
 // note logs when the store is lost or regained.
 func (registry *Registry) note(err error) {
-	registry.mutex.Lock()
-	defer registry.mutex.Unlock()
 	reached := err == nil
-	if reached == registry.reached {
+	registry.mutex.Lock()
+	before := registry.reached
+	registry.reached = reached
+	registry.mutex.Unlock()
+	if reached == before {
 		return
 	}
-	registry.reached = reached
+	registry.HomesChanged()
 	if reached {
 		registry.Log.Info().Str("event", "dependency-regained").Str("dependency", "store").Send()
 		return
@@ -162,33 +174,86 @@
 	registry.Log.Warn().Str("event", "dependency-lost").Str("dependency", "store").Err(err).Send()
 }
 
-// keepLease grants or renews the lease.
-func (registry *Registry) keepLease(ctx context.Context) error {
+// Reached says whether the last calls reached the store.
+func (registry *Registry) Reached() bool {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return registry.reached
+}
+
+// keepLeases grants the lease of the host and renews those that are due.
+func (registry *Registry) keepLeases(ctx context.Context) error {
 	began := registry.Clock.Boot()
 	registry.mutex.Lock()
-	lease, renewedAt, leaving := registry.lease, registry.renewedAt, registry.leaving
+	hostLease, hostRenewedAt := registry.hostLease, registry.hostRenewedAt
+	lease, renewedAt := registry.lease, registry.renewedAt
+	holds, leaving := len(registry.held) > 0, registry.leaving
 	registry.mutex.Unlock()
-	if leaving || (lease != 0 && began.Sub(renewedAt) < renewInterval) {
+	if leaving {
 		return nil
 	}
-	if lease == 0 {
-		granted, err := registry.Store.Grant(ctx, leaseTime)
-		if err != nil {
+	if holds && lease != 0 && began.Sub(renewedAt) >= renewInterval {
+		if err := registry.renewTenures(ctx, lease, began); err != nil {
 			return err
 		}
-		registry.setLease(granted, began)
-		return nil
 	}
+	if hostLease == 0 {
+		return registry.grantHostLease(ctx, began)
+	}
+	if began.Sub(hostRenewedAt) >= hostRenewInterval {
+		return registry.renewHost(ctx, hostLease, began)
+	}
+	return nil
+}
+
+func (registry *Registry) renewTenures(ctx context.Context, lease balsamproxy.LeaseID, began balsamproxy.BootTime) error {
 	err := registry.Store.KeepAlive(ctx, lease)
 	switch {
 	case err == nil:
 		registry.setLease(lease, began)
 	case errors.Is(err, balsamproxy.ErrStoreLeaseLost):
-		registry.loseLease(err)
+		registry.loseTenures(err)
+		return nil
+	}
+	return err
+}
+
+func (registry *Registry) grantHostLease(ctx context.Context, began balsamproxy.BootTime) error {
+	granted, err := registry.Store.Grant(ctx, hostLeaseTime)
+	if err != nil {
+		return err
+	}
+	registry.setHostLease(granted, began)
+	return nil
+}
+
+func (registry *Registry) renewHost(ctx context.Context, lease balsamproxy.LeaseID, began balsamproxy.BootTime) error {
+	err := registry.Store.KeepAlive(ctx, lease)
+	switch {
+	case err == nil:
+		registry.setHostLease(lease, began)
+	case errors.Is(err, balsamproxy.ErrStoreLeaseLost):
+		registry.loseHostLease(err)
+		return nil
 	}
 	return err
 }
 
+func (registry *Registry) setHostLease(lease balsamproxy.LeaseID, began balsamproxy.BootTime) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	registry.hostLease = lease
+	registry.hostRenewedAt = began
+}
+
+func (registry *Registry) loseHostLease(cause error) {
+	registry.mutex.Lock()
+	registry.hostLease = 0
+	registry.published = 0
+	registry.mutex.Unlock()
+	registry.Log.Warn().Str("event", "lease-lost").Str("lease", "host").Err(cause).Send()
+}
+
 func (registry *Registry) setLease(lease balsamproxy.LeaseID, began balsamproxy.BootTime) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
@@ -196,41 +261,57 @@
 	registry.renewedAt = began
 }
 
-// loseLease gives up all that hung on a lease that has ended.
-func (registry *Registry) loseLease(cause error) {
+// loseTenures gives up all that hung on a lease that has ended.
+func (registry *Registry) loseTenures(cause error) {
 	registry.mutex.Lock()
 	registry.lease = 0
-	registry.published = 0
+	now := registry.Clock.Boot()
+	for group := range registry.held {
+		delete(registry.tenures, group)
+		registry.freeLocked(group, now)
+	}
 	registry.held = nil
 	registry.mutex.Unlock()
-	registry.Log.Warn().Str("event", "lease-lost").Err(cause).Send()
+	registry.Log.Warn().Str("event", "lease-lost").Str("lease", "tenures").Err(cause).Send()
 	registry.HomesChanged()
 }
 
+// tenureLease returns a lease for tenures that is young enough to take one
+// under it.
+func (registry *Registry) tenureLease(ctx context.Context) (balsamproxy.LeaseID, error) {
+	began := registry.Clock.Boot()
+	registry.mutex.Lock()
+	lease, renewedAt, holds := registry.lease, registry.renewedAt, len(registry.held) > 0
+	registry.mutex.Unlock()
+	if lease != 0 && (holds || began.Sub(renewedAt) < renewInterval) {
+		return lease, nil
+	}
+	granted, err := registry.Store.Grant(ctx, leaseTime)
+	if err != nil {
+		return 0, err
+	}
+	registry.setLease(granted, began)
+	return granted, nil
+}
+
 // dropLapsed gives tenures up whose lease may have ended while the store could
 // not be reached, so that others learn of it.
 func (registry *Registry) dropLapsed() {
 	now := registry.Clock.Boot()
 	registry.mutex.Lock()
 	lapsed := len(registry.held) > 0 && now.Sub(registry.renewedAt) >= leaseTime-leaseMargin
-	if lapsed {
-		for group := range registry.held {
-			delete(registry.tenures, group)
-			registry.freeLocked(group, now)
-		}
-		registry.held = nil
-	}
 	registry.mutex.Unlock()
 	if lapsed {
-		registry.Log.Warn().Str("event", "tenures-lapsed").Send()
-		registry.HomesChanged()
+		registry.loseTenures(errLapsed)
 	}
 }
 
+var errLapsed = errors.New("registry: the lease could not be renewed in time")
+
 // publish writes the own record under the lease.
 func (registry *Registry) publish(ctx context.Context) error {
 	registry.mutex.Lock()
-	lease, published, leaving := registry.lease, registry.published, registry.leaving
+	lease, published, leaving := registry.hostLease, registry.published, registry.leaving
 	registry.mutex.Unlock()
 	if lease == 0 || published != 0 || leaving {
 		return nil
@@ -241,7 +322,7 @@
 	}
 	revision, err := registry.replace(ctx, balsamproxy.StoreSwap{Key: registry.hostKey(), Value: value, Lease: lease})
 	if errors.Is(err, balsamproxy.ErrStoreLeaseLost) {
-		registry.loseLease(err)
+		registry.loseHostLease(err)
 	}
 	if err != nil {
 		return err
@@ -270,18 +351,29 @@
 func (registry *Registry) Leave(ctx context.Context) {
 	registry.mutex.Lock()
 	lease := registry.lease
+	held := len(registry.held) > 0
+	hostLease := registry.hostLease
 	registry.leaving = true
 	registry.held = nil
 	registry.lease = 0
+	registry.hostLease = 0
 	registry.mutex.Unlock()
-	if lease != 0 {
-		if err := registry.Store.Revoke(ctx, lease); err != nil {
-			registry.Log.Warn().Str("event", "lease-not-revoked").Err(err).Send()
-		}
+	if held {
+		registry.revoke(ctx, lease)
 	}
+	registry.revoke(ctx, hostLease)
 	registry.HomesChanged()
 }
 
+func (registry *Registry) revoke(ctx context.Context, lease balsamproxy.LeaseID) {
+	if lease == 0 {
+		return
+	}
+	if err := registry.Store.Revoke(ctx, lease); err != nil {
+		registry.Log.Warn().Str("event", "lease-not-revoked").Err(err).Send()
+	}
+}
+
 // RecordTargets writes down what the targets of this host said last, so that a
 // daemon that starts again knows them, and gives none that leaves any work.
 func (registry *Registry) RecordTargets(ctx context.Context, records []byte) error {
