--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -165,6 +165,7 @@
 		Greeting:  daemon.status,
 		Learned:   daemon.learned,
 		Lost:      daemon.lost,
+		Misplaced: daemon.view.misplace,
 		Metrics:   daemon.metrics,
 	}
 }
--- a/io/mesh/view.go
+++ b/io/mesh/view.go
@@ -12,6 +12,10 @@
 	"balsamproxy/core/membership"
 )
 
+// misplacedFor is how long a host is not dialled at whose address another one
+// answered: its record ends in that time.
+const misplacedFor = 20 * time.Second
+
 // greetedFor is how long a host that only greeted this daemon is dialled.
 const greetedFor = 10 * time.Second
 
@@ -31,7 +35,9 @@
 	listed   map[balsamproxy.HostID]balsamproxy.Member
 	greeted  map[balsamproxy.HostID]greeting
 	live     map[balsamproxy.HostID]balsamproxy.Status
-	homes    map[allowance.Group]balsamproxy.HostID
+	// misplaced are the hosts at whose address another one answered.
+	misplaced map[balsamproxy.HostID]time.Time
+	homes     map[allowance.Group]balsamproxy.HostID
 }
 
 type greeting struct {
@@ -52,7 +58,28 @@
 		greeted: map[balsamproxy.HostID]greeting{},
 		live:    map[balsamproxy.HostID]balsamproxy.Status{},
 		homes:   map[allowance.Group]balsamproxy.HostID{},
+
+		misplaced: map[balsamproxy.HostID]time.Time{},
+	}
+}
+
+// misplace notes that another host answered at the address of a host.
+func (view *view) misplace(host balsamproxy.HostID) {
+	view.mutex.Lock()
+	view.misplaced[host] = view.now()
+	delete(view.greeted, host)
+	view.mutex.Unlock()
+	view.log.Info().Str("event", "peer-replaced").Str("peer", string(host)).Send()
+}
+
+// isMisplacedLocked says whether a host should not be dialled for now.
+func (view *view) isMisplacedLocked(host balsamproxy.HostID, now time.Time) bool {
+	at, found := view.misplaced[host]
+	if found && now.Sub(at) > misplacedFor {
+		delete(view.misplaced, host)
+		return false
 	}
+	return found
 }
 
 // list takes the records of the store.
@@ -71,6 +98,7 @@
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
 	view.greeted[status.Host] = greeting{address: status.PeerAddress, at: view.now()}
+	delete(view.misplaced, status.Host)
 }
 
 // learn takes what a daemon says over the link to it.
@@ -152,7 +180,7 @@
 	hosts := []balsamproxy.HostID{}
 	now := view.now()
 	for host := range view.listed {
-		if _, linked := view.live[host]; !linked && host != view.host {
+		if _, linked := view.live[host]; !linked && host != view.host && !view.isMisplacedLocked(host, now) {
 			hosts = append(hosts, host)
 		}
 	}
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -55,6 +55,9 @@
 	// the link to it has ended. Both may be nil.
 	Learned func(balsamproxy.Status)
 	Lost    func(host balsamproxy.HostID)
+	// Misplaced is told of a host at whose address another one answered; it
+	// may be nil.
+	Misplaced func(host balsamproxy.HostID)
 	// Metrics counts links; nil counts nothing.
 	Metrics tally.Scope
 
@@ -167,6 +170,9 @@
 		if status.Host != member.Host {
 			// Another daemon has the address now.
 			_ = conn.Close()
+			if pool.Misplaced != nil {
+				pool.Misplaced(member.Host)
+			}
 			return
 		}
 		if pool.Learned != nil {
