--- a/io/events/log.go
+++ b/io/events/log.go
@@ -89,7 +89,7 @@
 	go func() {
 		defer close(writer.ended)
 		for line := range writer.lines {
-			_, _ = output.Write(line) //nolint:errcheck // there is nowhere left to tell
+			_, _ = output.Write(line) // There is nowhere left to tell.
 		}
 	}()
 	return writer
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -197,5 +197,5 @@
 		_ = half.CloseWrite()
 	}
 	_ = connection.conn.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, connection.conn) //nolint:errcheck // the connection ends whatever comes
+	_, _ = io.Copy(io.Discard, connection.conn)
 }
--- a/io/http1/receive.go
+++ b/io/http1/receive.go
@@ -109,5 +109,5 @@
 	if connection.underWay.Load() > 1 {
 		return
 	}
-	_, _ = connection.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) //nolint:errcheck // reading the body tells
+	_, _ = connection.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 }
--- a/io/mesh/run.go
+++ b/io/mesh/run.go
@@ -47,7 +47,6 @@
 	parts   task.Group
 	dials   task.Group
 	failed  chan error
-	servers []*http.Server
 }
 
 // Run serves until ctx ends, then shuts down gracefully. Reloads are settings
--- a/io/registry/list.go
+++ b/io/registry/list.go
@@ -175,8 +175,7 @@
 			continue
 		}
 		found, stands := registry.tenures[group]
-		switch {
-		case stands && homes.Successor(group, registry.Host, found.Host, present):
+		if stands && homes.Successor(group, registry.Host, found.Host, present) {
 			return true
 		}
 	}
--- a/io/target/deliver.go
+++ b/io/target/deliver.go
@@ -43,6 +43,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// length is what the answer says of its body; that to HEAD has none.
+	length int64
 	mark   balsamproxy.AnswerMark
 }
 
@@ -135,7 +137,16 @@
 	if len(body) > bodyMax {
 		return nil, errBodyLong
 	}
-	return &delivered{status: response.StatusCode, header: httpanswer.CleanHeader(response.Header), body: body}, nil
+	found := &delivered{
+		status: response.StatusCode,
+		header: httpanswer.CleanHeader(response.Header),
+		body:   body,
+		length: int64(len(body)),
+	}
+	if response.Request.Method == http.MethodHead {
+		found.length = response.ContentLength
+	}
+	return found, nil
 }
 
 func (visit *visit) newRequest(ctx context.Context) (*http.Request, error) {
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -401,7 +401,7 @@
 		Head: balsamproxy.AnswerHead{
 			Status:        delivered.status,
 			Header:        delivered.header,
-			ContentLength: int64(len(delivered.body)),
+			ContentLength: delivered.length,
 			CalleeFailed:  visit.local.calleeFailed(delivered.status),
 		},
 		Body: io.NopCloser(bytes.NewReader(delivered.body)),
