--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -94,13 +94,21 @@
 	return conn
 }
 
-func read(t *testing.T, reader *bufio.Reader) (*http.Response, string) {
+// answer is what a caller reads.
+type answer struct {
+	status int
+	body   string
+	last   bool
+}
+
+func read(t *testing.T, reader *bufio.Reader) answer {
 	t.Helper()
 	response, err := http.ReadResponse(reader, nil)
 	assert.NilError(t, err)
 	body, err := io.ReadAll(response.Body)
 	assert.NilError(t, err)
-	return response, string(body)
+	assert.NilError(t, response.Body.Close())
+	return answer{status: response.StatusCode, body: string(body), last: response.Close}
 }
 
 func TestRequestsAreFramed(t *testing.T) {
@@ -132,12 +140,12 @@
 			_, err := io.WriteString(conn, test.sent)
 			assert.NilError(t, err)
 			reader := bufio.NewReader(conn)
-			response, body := read(t, reader)
-			if response.StatusCode == http.StatusContinue {
-				response, body = read(t, reader)
+			got := read(t, reader)
+			if got.status == http.StatusContinue {
+				got = read(t, reader)
 			}
-			assert.Equal(t, response.StatusCode, test.status)
-			assert.Equal(t, body, test.body)
+			assert.Equal(t, got.status, test.status)
+			assert.Equal(t, got.body, test.body)
 		})
 	}
 }
@@ -152,8 +160,7 @@
 	close(release["/first"])
 	reader := bufio.NewReader(conn)
 	for _, want := range []string{"GET /first ", "GET /second "} {
-		_, body := read(t, reader)
-		assert.Equal(t, body, want)
+		assert.Equal(t, read(t, reader).body, want)
 	}
 }
 
@@ -185,6 +192,7 @@
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err == nil {
 		_, err = io.ReadAll(response.Body)
+		_ = response.Body.Close()
 	}
 	assert.Assert(t, err != nil)
 }
@@ -200,9 +208,9 @@
 	assert.Equal(t, server.UnderWay(), int64(1))
 	close(release["/slow"])
 	reader := bufio.NewReader(conn)
-	response, body := read(t, reader)
-	assert.Equal(t, body, "GET /slow ")
-	assert.Assert(t, response.Close)
+	got := read(t, reader)
+	assert.Equal(t, got.body, "GET /slow ")
+	assert.Assert(t, got.last)
 	_, err = reader.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 }
@@ -212,7 +220,7 @@
 	_, err := io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
 	assert.NilError(t, err)
 	reader := bufio.NewReader(conn)
-	_, _ = read(t, reader)
+	read(t, reader)
 	for server.UnderWay() > 0 {
 		// The answer is written before the count falls.
 		continue
