--- a/core/placing/chooser.go
+++ b/core/placing/chooser.go
@@ -306,14 +306,3 @@
 	known.at = now
 	held.latencies[kind] = known
 }
-
-// Wait returns the wait that a target told last, and how old that is.
-func (chooser *Chooser) Wait(target balsamproxy.TargetID, now time.Time) (time.Duration, time.Duration) {
-	chooser.mutex.Lock()
-	defer chooser.mutex.Unlock()
-	held, found := chooser.targets[target]
-	if !found {
-		return 0, forgetAfter
-	}
-	return held.wait, now.Sub(held.waitAt)
-}
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -11,6 +11,7 @@
 	"balsamproxy/core/membership"
 	"balsamproxy/core/placing"
 	"balsamproxy/core/suspect"
+	"balsamproxy/task"
 )
 
 const (
@@ -120,7 +121,7 @@
 		if attempts.fulls > 0 {
 			return visit.waitPlace()
 		}
-		if len(attempts.tried) > 0 || now.Sub(began) > targetlessMax || !sleep(ctx, targetlessPause) {
+		if len(attempts.tried) > 0 || now.Sub(began) > targetlessMax || !task.Sleep(ctx, targetlessPause) {
 			refusal := balsamproxy.NotRun(balsamproxy.ReasonNoTarget, "no target of the service takes work")
 			refusal.Retry = fullRetry
 			return membership.Endpoint{}, 0, refusal
@@ -178,17 +179,6 @@
 	return endpoint, patience, nil
 }
 
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // try sends the request to one target.
 func (visit *visit) try(ctx context.Context, endpoint membership.Endpoint, patience time.Duration) (*balsamproxy.Answer, *balsamproxy.Refusal) {
 	entry := visit.entry
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -126,7 +126,7 @@
 			if !isTemporary(err) {
 				return eris.Wrap(err, "http1: cannot accept")
 			}
-			pause(ctx)
+			task.Sleep(ctx, acceptPause)
 			continue
 		}
 		connection := newConnection(server, accepted)
@@ -143,15 +143,6 @@
 	return errors.As(err, &operation) && !errors.Is(err, net.ErrClosed)
 }
 
-func pause(ctx context.Context) {
-	timer := time.NewTimer(acceptPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (server *Server) add(connection *connection) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
--- a/io/lending/spender.go
+++ b/io/lending/spender.go
@@ -16,6 +16,7 @@
 	"balsamproxy/core/allowance"
 	"balsamproxy/core/config"
 	"balsamproxy/io/peer"
+	"balsamproxy/task"
 )
 
 const (
@@ -87,7 +88,7 @@
 		if asked {
 			return refusal
 		}
-		if now.Sub(waited) > homelessMax || !sleep(ctx, homelessPause) {
+		if now.Sub(waited) > homelessMax || !task.Sleep(ctx, homelessPause) {
 			refusal := balsamproxy.NotRun(balsamproxy.ReasonNoAllowance, "no host holds the account's allowance")
 			refusal.Retry = homelessRetry
 			return refusal
@@ -95,17 +96,6 @@
 	}
 }
 
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func exceeded(wait time.Duration) *balsamproxy.Refusal {
 	refusal := balsamproxy.NotRun(balsamproxy.ReasonRateExceeded, "the client account is over its rate and burst")
 	refusal.Retry = max(wait, time.Millisecond)
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -36,6 +36,7 @@
 	"balsamproxy/io/peer"
 	"balsamproxy/io/registry"
 	"balsamproxy/io/target"
+	"balsamproxy/task"
 )
 
 const (
@@ -317,7 +318,7 @@
 			return ctx.Err()
 		case <-daemon.wakeAnnounce:
 			daemon.links.Announce()
-			sleep(ctx, announcePause)
+			task.Sleep(ctx, announcePause)
 		}
 	}
 }
--- a/io/mesh/documents.go
+++ b/io/mesh/documents.go
@@ -12,6 +12,7 @@
 	"balsamproxy/core/config"
 	"balsamproxy/core/evidence"
 	"balsamproxy/io/peer"
+	"balsamproxy/task"
 )
 
 const (
@@ -56,7 +57,7 @@
 	for ctx.Err() == nil {
 		if documents.relay.follow(ctx) {
 			after = 0
-			sleep(ctx, relayInterval)
+			task.Sleep(ctx, relayInterval)
 			continue
 		}
 		var err error
@@ -78,7 +79,7 @@
 		}
 		reachable = false
 		documents.relay.help(ctx)
-		sleep(ctx, pause)
+		task.Sleep(ctx, pause)
 		pause = min(2*pause, storePauseMax)
 	}
 	return ctx.Err()
@@ -180,12 +181,3 @@
 	}
 	documents.take(answer.Raw, string(host))
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/io/mesh/run.go
+++ b/io/mesh/run.go
@@ -151,7 +151,7 @@
 	for ctx.Err() == nil {
 		value, err := daemon.registry.Targets(ctx)
 		if err != nil {
-			sleep(ctx, storePauseMin)
+			task.Sleep(ctx, storePauseMin)
 			continue
 		}
 		if value == nil {
@@ -218,13 +218,13 @@
 	daemon.log.Info().Str("event", "stopping").Int64("under-way", daemon.callers.UnderWay()).Send()
 	daemon.callers.Leave()
 	daemon.registry.Leave(ctx)
-	sleep(ctx, time.Until(began.Add(time.Duration(float64(grace)*servePart))))
+	task.Sleep(ctx, time.Until(began.Add(time.Duration(float64(grace)*servePart))))
 	daemon.closing.Store(true)
 	daemon.links.Leave()
 	daemon.announce()
-	sleep(ctx, noticeTime)
+	task.Sleep(ctx, noticeTime)
 	finished := daemon.links.Refuse()
-	sleep(ctx, time.Until(began.Add(time.Duration(float64(grace)*acceptPart))))
+	task.Sleep(ctx, time.Until(began.Add(time.Duration(float64(grace)*acceptPart))))
 	_ = callers.Close()
 	daemon.callers.CloseIdle()
 	running.waitQuiet(ctx)
@@ -245,6 +245,6 @@
 				Int64("under-way", running.daemon.callers.UnderWay()).Send()
 			return
 		}
-		sleep(ctx, quietPoll)
+		task.Sleep(ctx, quietPoll)
 	}
 }
--- a/store.go
+++ b/store.go
@@ -99,17 +99,11 @@
 	Revision Revision
 }
 
-// StoreFollower is a store that answers bounded waits and cheap reads that
-// may be some seconds old.
+// StoreFollower is a store that answers bounded waits.
 type StoreFollower interface {
 	// Changes waits for changes of keys with a prefix after a revision, at
 	// most for a time. ErrStoreCompacted asks for a new Range first.
 	Changes(ctx context.Context, prefix StoreKey, after Revision, wait time.Duration) (StoreChanges, error)
-	// StaleRange returns all keys with a prefix as they were at most some
-	// seconds ago.
-	StaleRange(ctx context.Context, prefix StoreKey) (StoreSnapshot, error)
-	// Remove removes a key that stands at a revision. It fails as Swap does.
-	Remove(ctx context.Context, key StoreKey, expected Revision) error
 }
 
 // Store is the platform's key-value service with compare-and-swap, leases and
