--- /dev/null
+++ b/io/entry/entry_test.go
@@ -0,0 +1,205 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"balsamproxy"
+	"balsamproxy/core/budget"
+	"balsamproxy/core/config"
+	"balsamproxy/core/evidence"
+	"balsamproxy/core/membership"
+	"balsamproxy/core/placing"
+	"balsamproxy/core/suspect"
+	"balsamproxy/io/entry"
+	"balsamproxy/io/events"
+	"balsamproxy/io/http1"
+)
+
+// dialect is a plain way to speak to callers: the outcome is the status.
+type dialect struct{}
+
+func (dialect) TakeCallerHead(header http.Header) (balsamproxy.CallerHead, error) {
+	return balsamproxy.CallerHead{RequestID: "id", Timeout: 5 * time.Second, Secret: header.Get("Secret")}, nil
+}
+func (dialect) PutTargetHead(http.Header, balsamproxy.TargetHead) {}
+func (dialect) ReadAnswerMark(int, http.Header) balsamproxy.AnswerMark {
+	return balsamproxy.AnswerMark{}
+}
+func (dialect) TakeAnswerID(http.Header)                       {}
+func (dialect) PutAnswerID(http.Header, balsamproxy.RequestID) {}
+func (dialect) PutRefusal(header http.Header, _ balsamproxy.RequestID, refusal *balsamproxy.Refusal) int {
+	header.Set("Reason", string(refusal.Reason))
+	if refusal.Outcome == balsamproxy.OutcomeNotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+// script answers calls one after another.
+type script struct {
+	steps []step
+	calls []balsamproxy.CallHead
+}
+
+type step struct {
+	status  int
+	callee  bool
+	refusal *balsamproxy.Refusal
+}
+
+func (script *script) CarryTo(_ context.Context, _ balsamproxy.HostID, call balsamproxy.Call) (*balsamproxy.Answer, error) {
+	next := script.steps[min(len(script.calls), len(script.steps)-1)]
+	script.calls = append(script.calls, call.Head)
+	if next.refusal != nil {
+		refusal := *next.refusal
+		return nil, &refusal
+	}
+	return &balsamproxy.Answer{
+		Head: balsamproxy.AnswerHead{Status: next.status, CalleeFailed: next.callee},
+		Body: io.NopCloser(bytes.NewReader(nil)),
+	}, nil
+}
+
+func (script *script) Carry(ctx context.Context, call balsamproxy.Call) (*balsamproxy.Answer, error) {
+	return script.CarryTo(ctx, "", call)
+}
+
+type nothing struct{}
+
+func (nothing) Spend(context.Context, balsamproxy.ClientAccountID) *balsamproxy.Refusal { return nil }
+func (nothing) Blocked(suspect.Fingerprint, time.Time) bool                             { return false }
+func (nothing) Crashed(suspect.Fingerprint, balsamproxy.CrashID, time.Time)             {}
+
+func newEntry(script *script, repeats int) *entry.Entry {
+	clock := balsamproxy.SystemClock{}
+	held := &entry.Entry{
+		Host:       "own",
+		Service:    func() balsamproxy.ServiceID { return "s0" },
+		Dialect:    dialect{},
+		Config:     &config.Current{},
+		Evidence:   &evidence.Evidence{Limit: time.Minute},
+		Allowance:  nothing{},
+		Members:    &membership.Table{},
+		Chooser:    &placing.Chooser{},
+		Split:      &placing.Split{},
+		Budget:     &budget.Budget{Ratio: float64(repeats)},
+		Local:      script,
+		Remote:     script,
+		Clock:      clock,
+		Boot:       clock,
+		Random:     func() float64 { return 0 },
+		Events:     &events.Log{Logger: zerolog.Nop(), Now: time.Now},
+		Metrics:    tally.NoopScope,
+		Crashes:    nothing{},
+		CallFailed: func() {},
+	}
+	held.Budget.SetMost(float64(repeats))
+	held.Evidence.Confirm(clock.Boot())
+	retries := 2
+	route := config.Route{
+		ID: "look", Service: "s1", Path: "/look/", Methods: []string{config.AnyMethod}, Access: config.AccessKeyed,
+		Idempotent: true, Deadline: 5000, Objective: 2000, RetryLimit: &retries,
+	}
+	order := route
+	order.ID, order.Path, order.Idempotent = "order", "/order/", false
+	held.Config.Offer(config.NewIndex(&config.Document{
+		ClientAccounts: []config.ClientAccount{{ID: "t1", Keys: []config.Key{{ID: "k", Digest: config.FormatDigest("secret")}}}},
+		Routes:         []config.Route{route, order},
+	}, 1))
+	for _, host := range []balsamproxy.HostID{"h1", "h2", "h3", "h4"} {
+		held.Members.Put(balsamproxy.Member{Host: host, Targets: []balsamproxy.Target{
+			{ID: balsamproxy.TargetID(host), Service: "s1", Slots: 10, State: balsamproxy.TargetReady},
+		}}, 1)
+	}
+	return held
+}
+
+func send(held *entry.Entry, path, secret string) http1.Response {
+	head := httptest.NewRequest(http.MethodGet, path, nil)
+	head.Header.Set("Secret", secret)
+	return held.Handle(context.Background(), &http1.Request{Head: head, ReadAt: time.Now()})
+}
+
+// TestAttempts checks how often a request is sent, and what its caller is
+// told, for what the targets and their doors did.
+func TestAttempts(t *testing.T) {
+	arrived := balsamproxy.NotRun(balsamproxy.ReasonOverloaded, "")
+	arrived.Arrived = true
+	full := step{refusal: balsamproxy.NotRun(balsamproxy.ReasonOverloaded, "")}
+	shed := step{refusal: arrived}
+	lost := step{refusal: balsamproxy.MayHaveRun(balsamproxy.ReasonPeerLost, "")}
+	leaving := step{refusal: balsamproxy.NotRun(balsamproxy.ReasonDraining, "")}
+	good, failed := step{status: 200}, step{status: 500}
+	calleeFailed := step{status: 500, callee: true}
+	cases := map[string]struct {
+		path    string
+		steps   []step
+		repeats int
+		status  int
+		calls   int
+	}{
+		"answered":                     {"/look/", []step{good}, 5, 200, 1},
+		"full door, then answered":     {"/order/", []step{full, good}, 0, 200, 2},
+		"leaving host, then answered":  {"/order/", []step{leaving, good}, 0, 200, 2},
+		"read lost, then answered":     {"/look/", []step{lost, good}, 5, 200, 2},
+		"read lost without a budget":   {"/look/", []step{lost, good}, 0, 502, 1},
+		"order lost":                   {"/order/", []step{lost, good}, 5, 502, 1},
+		"order shed, then answered":    {"/order/", []step{shed, good}, 5, 200, 2},
+		"order shed without a budget":  {"/order/", []step{shed, good}, 0, 503, 1},
+		"order shed, then lost":        {"/order/", []step{shed, lost}, 5, 502, 2},
+		"read failed, then answered":   {"/look/", []step{failed, good}, 5, 200, 2},
+		"order failed":                 {"/order/", []step{failed, good}, 5, 500, 1},
+		"read failed below the target": {"/look/", []step{calleeFailed, good}, 5, 500, 1},
+		// The last try waits at the target with the least wait.
+		"read lost, then full: promises nothing": {"/look/", []step{lost, full, full, full, full, full}, 5, 502, 5},
+		"read lost again and again":              {"/look/", []step{lost}, 50, 502, 3},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			script := &script{steps: test.steps}
+			response := send(newEntry(script, test.repeats), test.path, "secret")
+			assert.Equal(t, response.Status, test.status)
+			assert.Equal(t, len(script.calls), test.calls)
+		})
+	}
+}
+
+// TestRefusedBeforeAnyTarget checks that each stage refuses on its own, with
+// its reason, and that no target is called.
+func TestRefusedBeforeAnyTarget(t *testing.T) {
+	cases := map[string]struct {
+		path, secret string
+		change       func(*entry.Entry)
+		reason       balsamproxy.Reason
+	}{
+		"no configuration": {"/look/", "secret", func(held *entry.Entry) { held.Config = &config.Current{} }, balsamproxy.ReasonNoConfiguration},
+		"no route":         {"/nowhere/", "secret", nil, balsamproxy.ReasonNoRoute},
+		"no key":           {"/look/", "", nil, balsamproxy.ReasonKeyMissing},
+		"unknown key":      {"/look/", "other", nil, balsamproxy.ReasonKeyUnknown},
+		"no evidence":      {"/look/", "secret", func(held *entry.Entry) { held.Evidence = &evidence.Evidence{} }, balsamproxy.ReasonNoEvidence},
+		"no target":        {"/look/", "secret", func(held *entry.Entry) { held.Members = &membership.Table{} }, balsamproxy.ReasonNoTarget},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			script := &script{steps: []step{{status: 200}}}
+			held := newEntry(script, 5)
+			if test.change != nil {
+				test.change(held)
+			}
+			response := send(held, test.path, test.secret)
+			assert.Equal(t, response.Header.Get("Reason"), string(test.reason))
+			assert.Equal(t, response.Status, http.StatusServiceUnavailable)
+			assert.Equal(t, len(script.calls), 0)
+		})
+	}
+}
