Do not drop the request that arrives while idle connections close

Beginning a request and closing an idle connection now exclude each other; the test of both orders needs what this adds.

--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -80,7 +80,9 @@
 		if err := connection.await(); err != nil {
 			return err
 		}
-		connection.underWay.Add(1)
+		if !connection.begin() {
+			return errEnded
+		}
 		connection.server.underWay.Add(1)
 		next := connection.receive()
 		if next.request != nil && before != nil && !mayRunAhead(next.request.Head) {
@@ -97,6 +99,26 @@
 	}
 }
 
+// closedIdle is added to the requests under way of a connection that was
+// closed while it had none, so that none can begin on it.
+const closedIdle = -1 << 32
+
+// begin counts one more request under way. It says false if the connection was
+// closed before: then the request must not be read.
+func (connection *connection) begin() bool {
+	return connection.underWay.Add(1) > 0
+}
+
+// closeIdle closes the connection unless a request is under way. It says
+// whether it did.
+func (connection *connection) closeIdle() bool {
+	if !connection.underWay.CompareAndSwap(0, closedIdle) {
+		return false
+	}
+	connection.end()
+	return true
+}
+
 // await waits for the first byte of the next request.
 func (connection *connection) await() error {
 	connection.source.unlimited()
@@ -116,7 +138,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
-		if connection.closing.Load() || connection.underWay.Load() == 0 {
+		if connection.closing.Load() || connection.underWay.Load() <= 0 {
 			return errEnded
 		}
 	}
--- /dev/null
+++ b/io/http1/connection_test.go
@@ -0,0 +1,37 @@
+package http1
+
+import (
+	"net"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestCloseIdleOrBegin has a request arrive while the daemon closes idle
+// connections: either the connection stays for its answer, or it is not read.
+func TestCloseIdleOrBegin(t *testing.T) {
+	cases := map[string]struct {
+		closeFirst, closed, begun bool
+	}{
+		"request first": {false, false, true},
+		"close first":   {true, true, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			near, far := net.Pipe()
+			defer func() { assert.NilError(t, far.Close()) }()
+			connection := newConnection(&Server{}, near)
+			var closed, begun bool
+			if test.closeFirst {
+				closed = connection.closeIdle()
+				begun = connection.begin()
+			} else {
+				begun = connection.begin()
+				closed = connection.closeIdle()
+			}
+			assert.Equal(t, closed, test.closed)
+			assert.Equal(t, begun, test.begun)
+			assert.Equal(t, connection.closing.Load(), test.closed)
+		})
+	}
+}
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -166,9 +166,7 @@
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	for connection := range server.open {
-		if connection.underWay.Load() == 0 {
-			connection.end()
-		}
+		connection.closeIdle()
 	}
 }
 
