Freeze a daemon whole before its proof sends a request

The proof now waits until the kernel reports the process as stopped; what it checks has not changed. The case of a bad request says why the next one was refused.

--- a/proofs/callers_test.go
+++ b/proofs/callers_test.go
@@ -126,7 +126,8 @@
 		t.Run(name, func(t *testing.T) {
 			status := fleet.raw(fleet.daemons[0], test.request)
 			assert.Equal(t, status, test.status)
-			assert.Equal(t, fleet.ask(fleet.daemons[0], "GET", "/venues/1").status, http.StatusOK)
+			next := fleet.ask(fleet.daemons[0], "GET", "/venues/1")
+			assert.Equal(t, next.status, http.StatusOK, "%s %s", next.reason, next.body)
 		})
 	}
 	for _, entry := range venues.Ledger() {
--- a/proofs/fleet_test.go
+++ b/proofs/fleet_test.go
@@ -169,6 +169,16 @@
 	assert.NilError(t, daemon.process.Process.Signal(signal))
 }
 
+// freeze stops a daemon and waits until all its threads stand still.
+func (daemon *daemon) freeze(t testing.TB) {
+	t.Helper()
+	daemon.signal(t, syscall.SIGSTOP)
+	var status syscall.WaitStatus
+	_, err := syscall.Wait4(daemon.process.Process.Pid, &status, syscall.WUNTRACED, nil)
+	assert.NilError(t, err)
+	assert.Assert(t, status.Stopped(), "the daemon ended with %v", status)
+}
+
 // target starts a stand-in beside a daemon and waits until it is announced.
 func (fleet *fleet) target(daemon *daemon, name balsamproxy.ServiceID, calls ...balsamproxy.ServiceID) *service.Server {
 	fleet.t.Helper()
--- a/proofs/shared_test.go
+++ b/proofs/shared_test.go
@@ -49,11 +49,13 @@
 }
 
 // TestFrozenDaemonRefusesWithdrawnKey stops a daemon, withdraws a key, and
-// lets the daemon go on with a request that was sent while it was stopped.
+// lets the daemon go on with a request that was sent while it was stopped. A
+// request that is sent before all its threads stand still may be admitted
+// while the key is good.
 func TestFrozenDaemonRefusesWithdrawnKey(t *testing.T) {
 	fleet := servingFleet(t, 3)
 	frozen := fleet.daemons[2]
-	frozen.signal(t, syscall.SIGSTOP)
+	frozen.freeze(t)
 	result := make(chan answer, 1)
 	go func() { result <- fleet.ask(frozen, "GET", "/venues/frozen") }()
 	begin := time.Now()
