Compress links between data centres

Each message is compressed against the last 8 KiB of its direction, without an encoder that is kept: most links are quiet. Ruled out: the WebSocket library's own compression, which forgets between messages.

--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -161,13 +161,14 @@
 	}
 	daemon.links = &peer.Server{Carrier: daemon.local, Status: daemon.status, Greeted: daemon.greeted}
 	daemon.pool = &peer.Pool{
-		Host:      daemon.settings.Host,
-		Directory: daemon.view,
-		Greeting:  daemon.status,
-		Learned:   daemon.learned,
-		Lost:      daemon.lost,
-		Misplaced: daemon.view.misplace,
-		Metrics:   daemon.metrics,
+		Host:       daemon.settings.Host,
+		Directory:  daemon.view,
+		Greeting:   daemon.status,
+		Learned:    daemon.learned,
+		Lost:       daemon.lost,
+		Misplaced:  daemon.view.misplace,
+		Compresses: daemon.view.isFar,
+		Metrics:    daemon.metrics,
 	}
 }
 
--- a/io/mesh/view.go
+++ b/io/mesh/view.go
@@ -41,8 +41,9 @@
 }
 
 type greeting struct {
-	address string
-	at      time.Time
+	address    string
+	dataCentre balsamproxy.DataCentreID
+	at         time.Time
 }
 
 func newView(host balsamproxy.HostID, dataCentre balsamproxy.DataCentreID, table *membership.Table, log zerolog.Logger, now func() time.Time) *view {
@@ -97,7 +98,7 @@
 func (view *view) greet(status balsamproxy.Status) {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
-	view.greeted[status.Host] = greeting{address: status.PeerAddress, at: view.now()}
+	view.greeted[status.Host] = greeting{address: status.PeerAddress, dataCentre: status.DataCentre, at: view.now()}
 	delete(view.misplaced, status.Host)
 }
 
@@ -168,11 +169,17 @@
 	greeted, found := view.greeted[host]
 	listed, known := view.listed[host]
 	if found {
-		return balsamproxy.Member{Host: host, PeerAddress: greeted.address}, true
+		return balsamproxy.Member{Host: host, DataCentre: greeted.dataCentre, PeerAddress: greeted.address}, true
 	}
 	return listed, known
 }
 
+// isFar says whether a host is in another data centre: bytes on the way there
+// are dear.
+func (view *view) isFar(member balsamproxy.Member) bool {
+	return member.DataCentre != view.dataCentre
+}
+
 // wanted returns the hosts that should be dialled.
 func (view *view) wanted() []balsamproxy.HostID {
 	view.mutex.Lock()
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -23,6 +23,9 @@
 	buffers sync.Pool
 
 	outbox outbox
+	// compressor and decompressor are nil on a link that is not compressed.
+	compressor   *compressor
+	decompressor *decompressor
 
 	mutex   sync.Mutex
 	streams map[streamID]*stream
@@ -38,9 +41,9 @@
 	wake    chan struct{}
 }
 
-func newLink(conn *websocket.Conn) *link {
+func newLink(conn *websocket.Conn, readers *readerPool) *link {
 	conn.SetReadLimit(messageMax)
-	return &link{
+	link := &link{
 		conn:    conn,
 		codec:   newCodec(),
 		buffers: sync.Pool{New: func() any { return &bytes.Buffer{} }},
@@ -48,6 +51,11 @@
 		streams: map[streamID]*stream{},
 		done:    make(chan struct{}),
 	}
+	if conn.Subprotocol() == compressedProtocol {
+		link.compressor = &compressor{}
+		link.decompressor = &decompressor{readers: readers}
+	}
+	return link
 }
 
 // send queues one frame. It fails if the link has ended or the peer reads too
@@ -121,12 +129,26 @@
 		if len(pending) == 0 {
 			continue
 		}
-		_ = link.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if err := link.conn.WriteMessage(websocket.BinaryMessage, pending); err != nil {
+		if err := link.writeMessage(pending); err != nil {
 			_ = link.conn.Close()
-			return eris.Wrap(ErrLinkLost, err.Error())
+			return err
+		}
+	}
+}
+
+func (link *link) writeMessage(message []byte) error {
+	if link.compressor != nil {
+		compressed, err := link.compressor.compress(message)
+		if err != nil {
+			return err
 		}
+		message = compressed
 	}
+	_ = link.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err := link.conn.WriteMessage(websocket.BinaryMessage, message); err != nil {
+		return eris.Wrap(ErrLinkLost, err.Error())
+	}
+	return nil
 }
 
 func (link *link) read(receive func(*frame) error) error {
@@ -137,8 +159,8 @@
 			return eris.Wrap(ErrLinkLost, err.Error())
 		}
 		buffer.Reset()
-		if _, err := io.Copy(&buffer, reader); err != nil {
-			return eris.Wrap(ErrLinkLost, err.Error())
+		if err := link.readMessage(reader, &buffer); err != nil {
+			return err
 		}
 		if err := link.receiveAll(buffer.Bytes(), receive); err != nil {
 			return err
@@ -146,6 +168,16 @@
 	}
 }
 
+func (link *link) readMessage(reader io.Reader, message *bytes.Buffer) error {
+	if link.decompressor != nil {
+		return link.decompressor.decompress(reader, message)
+	}
+	if _, err := io.Copy(message, reader); err != nil {
+		return eris.Wrap(ErrLinkLost, err.Error())
+	}
+	return nil
+}
+
 func (link *link) receiveAll(data []byte, receive func(*frame) error) error {
 	for len(data) > 0 {
 		decoded, rest, err := link.codec.decode(data)
--- a/io/peer/link_test.go
+++ b/io/peer/link_test.go
@@ -35,11 +35,17 @@
 
 // newPair returns a pool that is linked to a server with a carrier.
 func newPair(t testing.TB, carrier balsamproxy.Carrier) (*peer.Pool, *peer.Server) {
+	t.Helper()
+	return newPairWith(t, carrier, false)
+}
+
+func newPairWith(t testing.TB, carrier balsamproxy.Carrier, compresses bool) (*peer.Pool, *peer.Server) {
 	t.Helper()
 	server := &peer.Server{Carrier: carrier}
 	listener := httptest.NewServer(server.Mux())
 	members := directory{"there": {Host: "there", PeerAddress: strings.TrimPrefix(listener.URL, "http://")}}
 	pool := &peer.Pool{Host: "here", Directory: members}
+	pool.Compresses = func(balsamproxy.Member) bool { return compresses }
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	started := make(chan struct{})
@@ -91,17 +97,19 @@
 		"more than a window": 64<<10 + 7,
 		"many windows":       1 << 20,
 	}
-	pool, _ := newPair(t, carrierFunc(echo))
-	for name, size := range sizes {
-		t.Run(name, func(t *testing.T) {
-			body := bytes.Repeat([]byte("x"), size)
-			answer, err := pool.CarryTo(t.Context(), "there", newCall("/p", body))
-			assert.NilError(t, err)
-			data, err := io.ReadAll(answer.Body)
-			assert.NilError(t, err)
-			assert.NilError(t, answer.Body.Close())
-			assert.Equal(t, len(data), size+len("/p:"))
-		})
+	for link, compresses := range map[string]bool{"plain": false, "compressed": true} {
+		pool, _ := newPairWith(t, carrierFunc(echo), compresses)
+		for name, size := range sizes {
+			t.Run(link+", "+name, func(t *testing.T) {
+				body := bytes.Repeat([]byte("x"), size)
+				answer, err := pool.CarryTo(t.Context(), "there", newCall("/p", body))
+				assert.NilError(t, err)
+				data, err := io.ReadAll(answer.Body)
+				assert.NilError(t, err)
+				assert.NilError(t, answer.Body.Close())
+				assert.Equal(t, string(data), "/p:"+string(body))
+			})
+		}
 	}
 }
 
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -58,11 +58,15 @@
 	// Misplaced is told of a host at whose address another one answered; it
 	// may be nil.
 	Misplaced func(host balsamproxy.HostID)
+	// Compresses says whether the link to a host should be compressed; nil
+	// compresses none.
+	Compresses func(member balsamproxy.Member) bool
 	// Metrics counts links; nil counts nothing.
 	Metrics tally.Scope
 
 	links   sync.Map // of balsamproxy.HostID to *dialled
 	running task.Group
+	readers readerPool
 	mutex   sync.Mutex
 	context context.Context
 	started chan struct{}
@@ -165,7 +169,7 @@
 	if err != nil {
 		return nil, eris.Wrap(ErrUnreachable, err.Error())
 	}
-	client := newClientLink(newLink(conn))
+	client := newClientLink(newLink(conn, &pool.readers))
 	client.learned = func(status balsamproxy.Status) {
 		if status.Host != member.Host {
 			// Another daemon has the address now.
@@ -208,6 +212,9 @@
 		WriteBufferSize:  bufferBytes,
 		NetDialContext:   (&net.Dialer{Control: boundUnacknowledged}).DialContext,
 	}
+	if pool.Compresses != nil && pool.Compresses(member) {
+		dialer.Subprotocols = []string{compressedProtocol}
+	}
 	scheme := "ws"
 	if pool.TLS != nil {
 		scheme = "wss"
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -29,6 +29,7 @@
 	leaving  bool
 	calls    task.Group
 	handlers map[Kind]handler
+	readers  readerPool
 }
 
 type serverLink struct {
@@ -45,12 +46,16 @@
 		http.Error(writer, err.Error(), http.StatusForbidden)
 		return
 	}
-	upgrader := websocket.Upgrader{ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes}
+	upgrader := websocket.Upgrader{
+		ReadBufferSize:  bufferBytes,
+		WriteBufferSize: bufferBytes,
+		Subprotocols:    []string{compressedProtocol},
+	}
 	conn, err := upgrader.Upgrade(writer, request, nil)
 	if err != nil {
 		return
 	}
-	link := &serverLink{link: newLink(conn), server: server, host: host}
+	link := &serverLink{link: newLink(conn, &server.readers), server: server, host: host}
 	ctx, cancel := context.WithCancel(context.WithoutCancel(request.Context()))
 	defer cancel()
 	server.add(link)
