Try unknown targets with few calls; count crowding only near the slots

A target that a few calls try counts as no faster than the others until they are answered; crowding counts from 0.7 of the slots, by what the door told.

--- a/core/placing/chooser.go
+++ b/core/placing/chooser.go
@@ -50,9 +50,15 @@
 	latencyHalfLife = 3 * time.Second
 	// unknownLatency is taken for a target that has not answered yet.
 	unknownLatency = 20 * time.Millisecond
-	// crowdPart is the part of a target's slots that, taken by calls of this
-	// daemon alone, doubles the expected time.
-	crowdPart = 0.25
+	// crowdFrom is the part of a target's slots from which on calls under way
+	// make it slower: some targets slow down when they are nearly full, and
+	// what other daemons send is seen late. From there to all slots the
+	// expected time doubles.
+	crowdFrom = 0.7
+	// explorersMax is how many calls at a time try a target of which nothing
+	// new is known; until they are answered it is taken for no faster than
+	// the others.
+	explorersMax = 2
 	// evenCost is charged for the expected time as such, so that of two
 	// targets that are both in time the faster one is chosen.
 	evenCost = 0.05
@@ -83,15 +89,20 @@
 	targets map[balsamproxy.TargetID]*memory
 	// services hold the failures of all targets of a service together.
 	services map[balsamproxy.ServiceID]*failures
+	// kinds hold the usual time of each kind at all targets together.
+	kinds map[balsamproxy.RouteID]latency
 }
 
 type memory struct {
 	open      int
 	latencies map[balsamproxy.RouteID]latency
 	failures  failures
-	wait      time.Duration
-	waitAt    time.Time
-	usedAt    time.Time
+	// load is what the target's door told last, and loadOpen how many calls
+	// of this daemon were under way then.
+	load     balsamproxy.Load
+	loadOpen int
+	loadAt   time.Time
+	usedAt   time.Time
 }
 
 // failures is the share of calls that failed lately.
@@ -188,10 +199,10 @@
 	if !found {
 		return far + lateness(unknownLatency, call.Objective) + failureCost*usual
 	}
-	crowd := float64(held.open) / (crowdPart * float64(max(endpoint.Target.Slots, 1)))
-	expected := time.Duration(float64(held.latency(call.Kind, now)) * (1 + crowd))
-	if now.Sub(held.waitAt) < waitMemory {
-		expected += held.wait
+	crowd := max(held.occupied(endpoint.Target.Slots, now)-crowdFrom, 0) / (1 - crowdFrom)
+	expected := time.Duration(float64(chooser.latency(held, call.Kind, now)) * (1 + crowd))
+	if now.Sub(held.loadAt) < waitMemory {
+		expected += held.load.Wait
 	}
 	return far + lateness(expected, call.Objective) + failureCost*held.failures.now(usual, now)
 }
@@ -207,10 +218,29 @@
 	return math.Erfc(deviations/math.Sqrt2)/2 + evenCost*part
 }
 
-// latency returns the usual time of a kind, less the longer none was seen.
-func (held *memory) latency(kind balsamproxy.RouteID, now time.Time) time.Duration {
+// occupied returns the part of a target's slots that is taken: by what its
+// door told a moment ago and this daemon has sent since, or else by the calls
+// of this daemon.
+func (held *memory) occupied(slots int, now time.Time) float64 {
+	open := held.open
+	if now.Sub(held.loadAt) < waitMemory {
+		open = held.load.InFlight + held.load.Queued + held.open - held.loadOpen
+	}
+	return float64(open) / float64(max(slots, 1))
+}
+
+// latency returns the usual time of a kind at a target. The longer none was
+// seen, the less is expected, so that the target is tried again; while a few
+// calls try it, what is known of it or of all targets counts.
+func (chooser *Chooser) latency(held *memory, kind balsamproxy.RouteID, now time.Time) time.Duration {
 	known, found := held.latencies[kind]
 	if !found {
+		known = chooser.kinds[kind]
+	}
+	if found && held.open >= explorersMax {
+		return max(known.mean, unknownLatency)
+	}
+	if !found && held.open < explorersMax {
 		return unknownLatency
 	}
 	age := now.Sub(known.at)
@@ -268,12 +298,14 @@
 	held := chooser.memory(ended.Target, now)
 	held.open--
 	if ended.Load.Limit > 0 {
-		held.wait = ended.Load.Wait
-		held.waitAt = now
+		held.load = ended.Load
+		held.loadOpen = held.open
+		held.loadAt = now
 	}
 	switch ended.Outcome {
 	case Answered:
-		held.learn(ended.Kind, ended.Took, now)
+		held.latencies[ended.Kind] = held.latencies[ended.Kind].learn(ended.Took, now)
+		chooser.learn(ended.Kind, ended.Took, now)
 		chooser.note(ended, 0, failurePart, now)
 	case Failed:
 		chooser.note(ended, 1, failurePart, now)
@@ -296,13 +328,17 @@
 	chooser.targets[ended.Target].failures.note(failed, part, service.share, now)
 }
 
-func (held *memory) learn(kind balsamproxy.RouteID, took time.Duration, now time.Time) {
-	known, found := held.latencies[kind]
-	if !found {
-		held.latencies[kind] = latency{mean: took, at: now}
-		return
+func (chooser *Chooser) learn(kind balsamproxy.RouteID, took time.Duration, now time.Time) {
+	if chooser.kinds == nil {
+		chooser.kinds = map[balsamproxy.RouteID]latency{}
+	}
+	chooser.kinds[kind] = chooser.kinds[kind].learn(took, now)
+}
+
+// learn returns the usual time with one more answer.
+func (known latency) learn(took time.Duration, now time.Time) latency {
+	if known.at.IsZero() {
+		return latency{mean: took, at: now}
 	}
-	known.mean += time.Duration(float64(took-known.mean) * latencyPart)
-	known.at = now
-	held.latencies[kind] = known
+	return latency{mean: known.mean + time.Duration(float64(took-known.mean)*latencyPart), at: now}
 }
--- a/core/placing/chooser_test.go
+++ b/core/placing/chooser_test.go
@@ -70,6 +70,45 @@
 	}
 }
 
+// TestCallsUnderWay plays calls that are sent while none has been answered yet.
+func TestCallsUnderWay(t *testing.T) {
+	late := shown{target: "near", calls: 50, took: 900 * time.Millisecond}
+	cases := map[string]struct {
+		shown shown
+		// open are the calls under way at each target.
+		open map[balsamproxy.TargetID]int
+		want balsamproxy.TargetID
+	}{
+		"an unknown target is tried":               {late, nil, "far"},
+		"by a few calls only":                      {late, map[balsamproxy.TargetID]int{"far": 2}, "near"},
+		"many calls at a target with room":         {shown{target: "near", calls: 1, took: 400 * time.Millisecond, load: balsamproxy.Load{Limit: 100, InFlight: 10}}, map[balsamproxy.TargetID]int{"near": 50}, "near"},
+		"many calls at a target that others use":   {shown{target: "near", calls: 1, took: 400 * time.Millisecond, load: balsamproxy.Load{Limit: 100, InFlight: 80}}, map[balsamproxy.TargetID]int{"near": 50}, "far"},
+		"more calls than slots at a silent target": {shown{target: "near", calls: 1, took: 400 * time.Millisecond}, map[balsamproxy.TargetID]int{"near": 130}, "far"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			chooser := &placing.Chooser{DataCentre: "a"}
+			for range test.shown.calls {
+				chooser.Begin(test.shown.target, start)
+				chooser.End(placing.Ended{
+					Target: test.shown.target, Service: "venues", Kind: "browse",
+					Took: test.shown.took, Load: test.shown.load,
+				}, start)
+			}
+			for target, open := range test.open {
+				for range open {
+					chooser.Begin(target, start)
+				}
+			}
+			call := placing.Call{Kind: "browse", Objective: 1200 * time.Millisecond}
+			endpoints := []membership.Endpoint{endpoint("far", "b"), endpoint("near", "a")}
+			got, found := chooser.Choose(endpoints, call, func() float64 { return 0.5 }, start)
+			assert.Assert(t, found)
+			assert.Equal(t, got.Target.ID, test.want)
+		})
+	}
+}
+
 func TestSplitIsExact(t *testing.T) {
 	route := config.Route{ID: "r", Split: []config.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}}
 	split := &placing.Split{}
