Homes of allowance leave their successors what they did not lend

A home now writes down a floor of 0.4 of a burst while an account does not need it, drops it in the store before it spends below, and writes the whole rest at a planned stop. Each tenure begins with writing the same record, so a home that only lost its lease goes on with its level. Until the former home's loans have ended the level does not rise above what was left. Tenures live 3.3 s, as long as the evidence of the configuration; a request waits a third of its time for a home, since callers come back once.

Safeguards taken out on a scratch copy: without floors, without the bound by former loans, with floors raised only after the write TestMovingHome fails each time.

--- a/clock.go
+++ b/clock.go
@@ -22,6 +22,10 @@
 	return time.Duration(instant - earlier)
 }
 
+// Time returns the instant as decisions take it. It can be compared with other
+// instants of the same clock only.
+func (instant BootTime) Time() time.Time { return time.Unix(0, int64(instant)) }
+
 // BootClock tells the time since the host started.
 type BootClock interface {
 	// Boot returns the current instant.
--- /dev/null
+++ b/core/allowance/floor_test.go
@@ -0,0 +1,156 @@
+package allowance_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"balsamproxy/core/allowance"
+)
+
+// term returns the term of the test's account from an instant on.
+func term(since time.Time) allowance.Term {
+	return allowance.Term{Group: allowance.GroupOf(account), Since: since}
+}
+
+// movingHome is one account whose home moves between hosts. Floors are written to
+// a store that answers late, or not before the home ends.
+type movingHome struct {
+	now        time.Time
+	share      allowance.Share
+	lender     *allowance.Lender
+	since      time.Time
+	purse      allowance.Purse
+	stored     allowance.Floors
+	sent       allowance.Floors
+	admissions []time.Time
+}
+
+func (moving *movingHome) spend(own bool) {
+	spent := false
+	switch {
+	case own:
+		spent = moving.lender.Spend(account, moving.share, moving.now)
+	case moving.purse.Spend(account, moving.now):
+		spent = true
+	default:
+		request := moving.purse.Request(account, "home", 1, moving.now)
+		answer := moving.lender.Lend(request, moving.share, moving.now)
+		spent = moving.purse.Take(account, "home", answer, moving.now, moving.now, 1) == 1
+	}
+	if spent {
+		moving.admissions = append(moving.admissions, moving.now)
+	}
+}
+
+// offer begins to write the floors that suit the levels.
+func (moving *movingHome) offer() {
+	floors, change := moving.lender.WantedFloors(term(moving.since), moving.now)
+	if change != allowance.Keep {
+		moving.lender.RaiseFloors(term(moving.since), floors)
+		moving.sent = floors
+	}
+}
+
+// settle lets the store take what was sent.
+func (moving *movingHome) settle(answered bool) {
+	if moving.sent == nil {
+		return
+	}
+	moving.stored = moving.sent
+	if answered {
+		moving.lender.SetFloors(term(moving.since), moving.sent)
+		moving.sent = nil
+	}
+}
+
+// move ends the home, with or without its knowledge, and opens the next one.
+func (moving *movingHome) move(planned bool) {
+	left := moving.stored
+	if planned {
+		left = moving.lender.Close(term(moving.since), moving.now)
+		// A request that found this home a moment ago gets nothing.
+		moving.spend(true)
+		moving.spend(false)
+	}
+	moving.lender = &allowance.Lender{}
+	moving.since = moving.now
+	moving.lender.Open(account, moving.share, allowance.Left{Tokens: left[account]}, moving.now)
+	moving.stored, moving.sent = nil, nil
+	moving.purse.Borrower.Incarnation += "+"
+}
+
+// TestMovingHome moves the home of an account at any moment and checks every
+// window of the admissions, while loans of former homes are still spent.
+func TestMovingHome(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := allowance.Limits{Rate: rapid.IntRange(1, 200).Draw(t, "rate"), Burst: rapid.IntRange(1, 200).Draw(t, "burst")}
+		moving := &movingHome{now: time.Unix(1_000_000, 0), lender: &allowance.Lender{}}
+		moving.since = moving.now
+		moving.share = allowance.ShareOf(limits.Rate, limits.Burst, 0, 1)
+		moving.lender.Open(account, moving.share, allowance.Left{Whole: true}, moving.now)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"spend", "lend", "pause", "offer", "settle", "unsettled", "kill", "stop"}).Draw(t, "step") {
+			case "spend":
+				for range rapid.IntRange(1, limits.Burst).Draw(t, "spent") {
+					moving.spend(true)
+				}
+			case "lend":
+				for range rapid.IntRange(1, limits.Burst).Draw(t, "lent") {
+					moving.spend(false)
+				}
+			case "pause":
+				moving.now = moving.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "milliseconds")) * time.Millisecond)
+			case "offer":
+				moving.offer()
+			case "settle":
+				moving.settle(true)
+			case "unsettled":
+				moving.settle(false)
+			case "kill":
+				moving.move(false)
+			case "stop":
+				moving.move(true)
+			}
+		}
+		if over := excess(moving.admissions, limits); over > rounding {
+			t.Fatalf("%g requests over rate and burst", over)
+		}
+	})
+}
+
+// TestNextHomeBeginsWithWhatWasLeft checks what a home that follows may spend
+// at once, of a burst of 100.
+func TestNextHomeBeginsWithWhatWasLeft(t *testing.T) {
+	cases := map[string]struct {
+		spent   int
+		planned bool
+		want    int
+	}{
+		"killed while calm":         {spent: 10, want: 40},
+		"killed while it was short": {spent: 60, want: 0},
+		"stopped while calm":        {spent: 10, planned: true, want: 90},
+		"stopped while short":       {spent: 95, planned: true, want: 5},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			moving := &movingHome{now: time.Unix(1_000_000, 0), lender: &allowance.Lender{}}
+			moving.since = moving.now
+			moving.share = allowance.ShareOf(1, 100, 0, 1)
+			moving.lender.Open(account, moving.share, allowance.Left{Whole: true}, moving.now)
+			for range test.spent {
+				moving.spend(true)
+			}
+			moving.offer()
+			moving.settle(true)
+			moving.move(test.planned)
+			moving.admissions = nil
+			for range 100 {
+				moving.spend(true)
+			}
+			assert.Equal(t, len(moving.admissions), test.want)
+		})
+	}
+}
--- a/core/allowance/lender.go
+++ b/core/allowance/lender.go
@@ -47,7 +47,15 @@
 	// level is what can be lent, in billionths of a token.
 	level uint64
 	// lent is the number of tokens that may still be spent elsewhere.
-	lent    uint64
+	lent uint64
+	// formerLent is what a former home may have lent, until formerUntil, in
+	// billionths of a token.
+	formerLent  uint64
+	formerUntil time.Time
+	// floor is what is left to the next home, in billionths of a token.
+	floor uint64
+	// closed says that another home follows: nothing is lent any more.
+	closed  bool
 	at      time.Time
 	startAt time.Time
 	loans   map[Borrower]*loan
@@ -73,11 +81,15 @@
 
 // Open makes this host the only home of an account from an instant on, when no
 // other home can lend any more. A new fleet begins with the whole burst; after
-// another home, what that one lent is not known, so the level begins at zero.
-func (lender *Lender) Open(account balsamproxy.ClientAccountID, share Share, whole bool, now time.Time) {
+// another home it begins with what that one left, and until the former loans
+// have ended the level does not rise above that.
+func (lender *Lender) Open(account balsamproxy.ClientAccountID, share Share, left Left, now time.Time) {
 	opened := &bucket{startAt: now, at: now, share: share, loans: map[Borrower]*loan{}}
-	if whole {
-		opened.level = share.burst
+	opened.level = share.burst
+	if !left.Whole {
+		opened.level = min(uint64(max(left.Tokens, 0))*nanosPerToken, share.burst)
+		opened.formerLent = share.burst - opened.level
+		opened.formerUntil = now.Add(Hold)
 	}
 	lender.buckets.Put(account, opened)
 }
@@ -131,7 +143,7 @@
 	bucket.mutex.Lock()
 	defer bucket.mutex.Unlock()
 	bucket.advance(share, now)
-	if bucket.level < nanosPerToken {
+	if bucket.free() < nanosPerToken {
 		return false
 	}
 	bucket.level -= nanosPerToken
@@ -162,6 +174,9 @@
 			delete(bucket.loans, borrower)
 		}
 	}
+	if !now.Before(bucket.formerUntil) {
+		bucket.formerLent = 0
+	}
 	if now.After(bucket.at) {
 		bucket.level += refill(bucket.share.rate, now.Sub(bucket.at))
 		bucket.at = now
@@ -173,7 +188,7 @@
 
 // room returns how high the level may be while tokens are lent.
 func (bucket *bucket) room() uint64 {
-	lent := bucket.lent * nanosPerToken
+	lent := max(bucket.lent*nanosPerToken, bucket.formerLent)
 	if lent >= bucket.share.burst {
 		return 0
 	}
@@ -210,7 +225,7 @@
 // grant returns how many tokens to lend: what is needed now if it is there,
 // and of what is needed soon no more than a part of the rest.
 func (bucket *bucket) grant(need, ahead int) uint64 {
-	whole := bucket.level / nanosPerToken
+	whole := bucket.free() / nanosPerToken
 	now := min(uint64(max(need, 0)), whole)
 	soon := min(uint64(max(ahead, 0)), (whole-now)/uint64(2*len(bucket.loans)+2))
 	return now + soon
@@ -220,6 +235,6 @@
 	if bucket.share.rate == 0 {
 		return Release
 	}
-	missing := nanosPerToken - min(bucket.level, nanosPerToken)
+	missing := nanosPerToken - min(bucket.free(), nanosPerToken)
 	return time.Duration(float64(missing) / float64(bucket.share.rate) * float64(time.Second))
 }
--- /dev/null
+++ b/io/lending/floors.go
@@ -0,0 +1,74 @@
+package lending
+
+import (
+	"context"
+	"time"
+
+	"balsamproxy/core/allowance"
+	"balsamproxy/task"
+)
+
+const (
+	// floorsInterval is the time between two looks at the levels: in it, an
+	// account at several times its rate uses less than what lies between the
+	// level at which a floor is dropped and the floor.
+	floorsInterval = 40 * time.Millisecond
+	// raisePause is the least time between two writes for one group that drop
+	// no floor, so that an account near its rate costs few calls.
+	raisePause = 3 * time.Second
+	// floorsTimeout bounds one write, so that a lost answer does not hold up
+	// the floors of other groups; a slow store answers in about 250 ms.
+	floorsTimeout = 400 * time.Millisecond
+)
+
+// floorsKeeper writes down what this home leaves to the next one.
+type floorsKeeper struct {
+	spender *Spender
+	written map[allowance.Group]time.Time
+	// unwritten are the groups whose last write failed.
+	unwritten map[allowance.Group]bool
+}
+
+// RunFloors keeps the floors in the store in line with the levels until ctx
+// ends.
+func (spender *Spender) RunFloors(ctx context.Context) error {
+	keeper := floorsKeeper{
+		spender:   spender,
+		written:   map[allowance.Group]time.Time{},
+		unwritten: map[allowance.Group]bool{},
+	}
+	for task.Sleep(ctx, floorsInterval) {
+		for _, term := range spender.Homes.Terms() {
+			keeper.step(ctx, term)
+		}
+	}
+	return ctx.Err()
+}
+
+func (keeper *floorsKeeper) step(ctx context.Context, term allowance.Term) {
+	spender := keeper.spender
+	now := spender.Clock.Boot().Time()
+	floors, change := spender.lender.WantedFloors(term, now)
+	rested := now.Sub(keeper.written[term.Group]) >= raisePause
+	if change != allowance.Drop && !(rested && (change == allowance.Raise || keeper.unwritten[term.Group])) {
+		return
+	}
+	spender.lender.RaiseFloors(term, floors)
+	keeper.written[term.Group] = now
+	ctx, cancel := context.WithTimeout(ctx, floorsTimeout)
+	defer cancel()
+	err := spender.Homes.WriteFloors(ctx, term, floors)
+	keeper.unwritten[term.Group] = err != nil
+	if err != nil {
+		spender.Metrics.Counter("allowance_floors_failed").Inc(1)
+		spender.Log.Warn().Str("event", "floors-not-written").Int("group", int(term.Group)).Err(err).Send()
+		return
+	}
+	spender.Metrics.Counter("allowance_floors").Inc(1)
+	spender.lender.SetFloors(term, floors)
+}
+
+// Close ends the lending of a term and returns what is left of it.
+func (spender *Spender) Close(term allowance.Term) allowance.Floors {
+	return spender.lender.Close(term, spender.Clock.Boot().Time())
+}
--- a/io/lending/spender.go
+++ b/io/lending/spender.go
@@ -24,11 +24,15 @@
 	lendTimeout = 300 * time.Millisecond
 	// homelessPause is the wait before a home is looked for again.
 	homelessPause = 50 * time.Millisecond
-	// homelessMax is the longest that a request waits for a home: about what
-	// a daemon takes to start again and take its tenure back.
-	homelessMax = 1200 * time.Millisecond
-	// homelessRetry is when a caller should come back if there was no home.
-	homelessRetry = 500 * time.Millisecond
+	// homelessParts gives the part of the time left that a request waits for
+	// a home: a caller that comes back once then still has time to be served.
+	homelessParts = 3
+	// homelessMax bounds that wait for callers that do not say how long they
+	// wait; a home that is gone for good is replaced about as soon.
+	homelessMax = 4 * time.Second
+	// homelessRetry is when a caller should come back if there was no home: a
+	// home is replaced about three seconds after it is gone.
+	homelessRetry = time.Second
 
 	kindLoan peer.Kind = "allowance-loan"
 )
@@ -40,6 +44,13 @@
 	// Holds says whether this daemon is home of a group at an instant, and
 	// since when.
 	Holds(group allowance.Group, now balsamproxy.BootTime) (since balsamproxy.BootTime, holds bool)
+	// Terms returns the terms that this daemon holds.
+	Terms() []allowance.Term
+	// Left returns how many tokens of an account the home before a term left.
+	Left(term allowance.Term, account balsamproxy.ClientAccountID) int
+	// WriteFloors writes down what is left to the home after a term. Only
+	// after it has returned without an error may less be left.
+	WriteFloors(ctx context.Context, term allowance.Term, floors allowance.Floors) error
 }
 
 // Spender spends allowance for requests on this host and lends what this host
@@ -62,9 +73,6 @@
 	opened map[balsamproxy.ClientAccountID]balsamproxy.BootTime
 }
 
-// instant turns a time since boot into one that the decisions take.
-func instant(now balsamproxy.BootTime) time.Time { return time.Unix(0, int64(now)) }
-
 // Spend takes one request off an account's allowance, or refuses it.
 func (spender *Spender) Spend(ctx context.Context, account balsamproxy.ClientAccountID) *balsamproxy.Refusal {
 	index := spender.Config.Index()
@@ -72,23 +80,24 @@
 		return nil
 	}
 	group := allowance.GroupOf(account)
-	waited := spender.Clock.Boot()
+	began := spender.Clock.Boot()
+	patience := homelessPatience(ctx)
 	for {
 		now := spender.Clock.Boot()
 		if since, holds := spender.Homes.Holds(group, now); holds {
 			return spender.spendOwn(account, since, now)
 		}
-		if spender.Purse.Spend(account, instant(now)) {
+		if spender.Purse.Spend(account, now.Time()) {
 			return nil
 		}
-		if wait := spender.Purse.IsEmpty(account, instant(now)); wait > 0 {
+		if wait := spender.Purse.IsEmpty(account, now.Time()); wait > 0 {
 			return exceeded(wait)
 		}
 		refusal, asked := spender.borrow(ctx, account, group)
 		if asked {
 			return refusal
 		}
-		if now.Sub(waited) > homelessMax || !task.Sleep(ctx, homelessPause) {
+		if now.Sub(began) > patience || !task.Sleep(ctx, homelessPause) {
 			refusal := balsamproxy.NotRun(balsamproxy.ReasonNoAllowance, "no host holds the account's allowance")
 			refusal.Retry = homelessRetry
 			return refusal
@@ -96,6 +105,15 @@
 	}
 }
 
+// homelessPatience returns how long a request waits for a home.
+func homelessPatience(ctx context.Context) time.Duration {
+	deadline, known := ctx.Deadline()
+	if !known {
+		return homelessMax
+	}
+	return min(time.Until(deadline)/homelessParts, homelessMax)
+}
+
 func exceeded(wait time.Duration) *balsamproxy.Refusal {
 	refusal := balsamproxy.NotRun(balsamproxy.ReasonRateExceeded, "the client account is over its rate and burst")
 	refusal.Retry = max(wait, time.Millisecond)
@@ -116,13 +134,18 @@
 		spender.opened = map[balsamproxy.ClientAccountID]balsamproxy.BootTime{}
 	}
 	spender.opened[account] = since
-	spender.lender.Open(account, share, since < spender.FreshUntil, instant(since))
+	left := allowance.Left{Whole: since < spender.FreshUntil}
+	if !left.Whole {
+		term := allowance.Term{Group: allowance.GroupOf(account), Since: since.Time()}
+		left.Tokens = spender.Homes.Left(term, account)
+	}
+	spender.lender.Open(account, share, left, since.Time())
 	return share
 }
 
 func (spender *Spender) spendOwn(account balsamproxy.ClientAccountID, since, now balsamproxy.BootTime) *balsamproxy.Refusal {
 	share := spender.share(account, since)
-	if spender.lender.Spend(account, share, instant(now)) {
+	if spender.lender.Spend(account, share, now.Time()) {
 		return nil
 	}
 	return exceeded(spender.lender.Wait(account))
@@ -136,7 +159,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
 	defer cancel()
-	sentAt := instant(spender.Clock.Boot())
+	sentAt := spender.Clock.Boot().Time()
 	request := spender.Purse.Request(account, home, 1, sentAt)
 	answer, err := peer.Ask[allowance.LoanRequest, allowance.LoanAnswer](ctx, spender.Pool, home, kindLoan, request)
 	if err != nil {
@@ -144,7 +167,7 @@
 		return nil, false
 	}
 	spender.Metrics.Counter("allowance_loans").Inc(1)
-	now := instant(spender.Clock.Boot())
+	now := spender.Clock.Boot().Time()
 	if spender.Purse.Take(account, home, answer, sentAt, now, 1) == 1 {
 		return nil, true
 	}
@@ -163,6 +186,6 @@
 			return allowance.LoanAnswer{}, errNotHome
 		}
 		share := spender.share(request.Account, since)
-		return spender.lender.Lend(request, share, instant(now)), nil
+		return spender.lender.Lend(request, share, now.Time()), nil
 	})
 }
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -194,6 +194,7 @@
 			daemon.dialSoon()
 		},
 		HomesChanged: daemon.announce,
+		Close:        func(term allowance.Term) allowance.Floors { return daemon.spender.Close(term) },
 		Log:          daemon.log,
 	}
 	daemon.documents = &documents{
@@ -244,6 +245,19 @@
 	return homes.daemon.registry.Holds(group, now)
 }
 
+// Terms returns the terms that this daemon holds.
+func (homes homes) Terms() []allowance.Term { return homes.daemon.registry.Terms() }
+
+// Left returns what the home before a term left of an account.
+func (homes homes) Left(term allowance.Term, account balsamproxy.ClientAccountID) int {
+	return homes.daemon.registry.Left(term, account)
+}
+
+// WriteFloors writes down what is left to the home after a term.
+func (homes homes) WriteFloors(ctx context.Context, term allowance.Term, floors allowance.Floors) error {
+	return homes.daemon.registry.WriteFloors(ctx, term, floors)
+}
+
 func (daemon *Daemon) wireWay() {
 	way := &entry.Entry{
 		Host:      daemon.settings.Host,
--- a/io/registry/list.go
+++ b/io/registry/list.go
@@ -194,7 +194,7 @@
 			return err
 		}
 		swap.Lease = lease
-		revision, err := registry.Store.Swap(ctx, swap)
+		err = registry.takeTenure(ctx, group, swap)
 		if errors.Is(err, balsamproxy.ErrStoreConflict) {
 			registry.forget(group)
 			return nil
@@ -205,7 +205,6 @@
 		if err != nil {
 			return err
 		}
-		registry.hold(group, revision)
 	}
 	return nil
 }
@@ -251,24 +250,6 @@
 	registry.tenures[group] = tenure{Tenure: homes.Tenure{Host: "(not read yet)"}}
 }
 
-func (registry *Registry) hold(group allowance.Group, revision balsamproxy.Revision) {
-	now := registry.Clock.Boot()
-	registry.mutex.Lock()
-	if registry.held == nil {
-		registry.held = map[allowance.Group]balsamproxy.BootTime{}
-	}
-	registry.held[group] = now
-	if registry.tenures == nil {
-		registry.tenures = map[allowance.Group]tenure{}
-	}
-	delete(registry.freeSince, group)
-	own := homes.Tenure{Host: registry.Host, Incarnation: registry.Incarnation}
-	registry.tenures[group] = tenure{Tenure: own, revision: revision}
-	registry.mutex.Unlock()
-	registry.Log.Info().Str("event", "tenure-taken").Int("group", int(group)).Int64("revision", int64(revision)).Send()
-	registry.HomesChanged()
-}
-
 // Learn takes what a daemon says of its tenures: lists of the records are
 // rare, and links tell at once who took a tenure or gave it up.
 func (registry *Registry) Learn(status balsamproxy.Status) {
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -24,10 +24,11 @@
 	hostLeaseTime = 20 * time.Second
 	// hostRenewInterval leaves two tries before that lease ends.
 	hostRenewInterval = 6 * time.Second
-	// leaseTime is the time to live of tenures. A store that is away for a
-	// moment must not end them, and a home that is gone for good is replaced
-	// after it.
-	leaseTime = 3 * time.Second
+	// leaseTime is the time to live of tenures. A store that is away must not
+	// end them before the evidence of the configuration ends, which is good
+	// for 3.5 s of the usual bound of withdrawals and some hundred
+	// milliseconds old; a home that is gone for good is replaced after it.
+	leaseTime = 3300 * time.Millisecond
 	// leaseMargin is how much earlier a daemon takes its own lease for ended.
 	leaseMargin = 250 * time.Millisecond
 	// renewInterval leaves two tries before a lease ends.
@@ -62,6 +63,7 @@
 type Store interface {
 	balsamproxy.Store
 	balsamproxy.StoreFollower
+	balsamproxy.StoreTransactor
 }
 
 // Registry keeps the records of one daemon. Its exported fields must be set.
@@ -80,7 +82,9 @@
 	Listed func([]balsamproxy.Member)
 	// HomesChanged is called when this daemon took or lost a tenure.
 	HomesChanged func()
-	Log          zerolog.Logger
+	// Close ends the lending of a term and returns what is left of it.
+	Close func(term allowance.Term) allowance.Floors
+	Log   zerolog.Logger
 
 	mutex sync.Mutex
 	// hostLease holds the record of the host, and lease the tenures.
@@ -91,6 +95,9 @@
 	published     balsamproxy.Revision
 	held          map[allowance.Group]balsamproxy.BootTime
 	leaving       bool
+	// terms are the terms that this daemon began, as long as no other daemon
+	// is known to have begun a later one.
+	terms map[allowance.Group]term
 	// tenures are the tenures that the store showed last.
 	tenures   map[allowance.Group]tenure
 	members   map[balsamproxy.HostID]balsamproxy.Member
@@ -120,6 +127,10 @@
 	return registry.Prefix + "targets/" + balsamproxy.StoreKey(registry.Host)
 }
 
+func (registry *Registry) floorsKey(group allowance.Group) balsamproxy.StoreKey {
+	return registry.Prefix + "floors/" + balsamproxy.StoreKey(strconv.Itoa(int(group)))
+}
+
 func (registry *Registry) homeKey(group allowance.Group) balsamproxy.StoreKey {
 	return registry.homesPrefix() + balsamproxy.StoreKey(strconv.Itoa(int(group)))
 }
@@ -220,22 +231,26 @@
 	return registry.Store.Swap(ctx, swap)
 }
 
-// Leave ends the tenures at once, so that others can take them.
+// Leave ends the tenures at once, so that others can take them, and leaves to
+// them what has not been lent.
 func (registry *Registry) Leave(ctx context.Context) {
 	registry.mutex.Lock()
-	lease := registry.lease
-	held := len(registry.held) > 0
-	hostLease := registry.hostLease
+	lease, hostLease := registry.lease, registry.hostLease
+	ending := []allowance.Group{}
+	for group := range registry.held {
+		ending = append(ending, group)
+	}
 	registry.leaving = true
 	registry.held = nil
 	registry.lease = 0
 	registry.hostLease = 0
 	registry.mutex.Unlock()
-	if held {
+	if err := registry.handOver(ctx, ending); err != nil {
+		registry.Log.Warn().Str("event", "tenures-not-handed-over").Err(err).Send()
 		registry.revoke(ctx, lease)
 	}
-	registry.revoke(ctx, hostLease)
 	registry.HomesChanged()
+	registry.revoke(ctx, hostLease)
 }
 
 func (registry *Registry) revoke(ctx context.Context, lease balsamproxy.LeaseID) {
--- /dev/null
+++ b/io/registry/terms.go
@@ -0,0 +1,237 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+
+	"balsamproxy"
+	"balsamproxy/core/allowance"
+	"balsamproxy/core/homes"
+)
+
+// term is a term of this daemon as the store has it.
+type term struct {
+	since balsamproxy.BootTime
+	// left is what the former home left.
+	left allowance.Floors
+	// floors and revision are the record that stands in the store.
+	floors   allowance.Floors
+	revision balsamproxy.Revision
+	// tenure is the revision of the tenure's own record.
+	tenure balsamproxy.Revision
+}
+
+// is says whether a term is the one that was asked for.
+func (term term) is(asked allowance.Term) bool { return term.since.Time().Equal(asked.Since) }
+
+// floorsRecord is the store's record of what a home leaves to the next one. It
+// outlives the tenure, and each tenure begins with writing it: so what stands
+// in it binds the home that wrote it until another one has replaced it.
+type floorsRecord struct {
+	Host        balsamproxy.HostID `json:"host"`
+	Incarnation string             `json:"incarnation"`
+	Floors      allowance.Floors   `json:"floors"`
+}
+
+// handOverMax is how many tenures are ended in one transaction: each takes two
+// conditions, a write and a removal of the 32 rows that a store takes.
+const handOverMax = 8
+
+// readFloors reads the record of a group; a group without one has an empty one.
+func (registry *Registry) readFloors(ctx context.Context, group allowance.Group) (floorsRecord, balsamproxy.Revision, error) {
+	entry, err := registry.Store.Get(ctx, registry.floorsKey(group))
+	if errors.Is(err, balsamproxy.ErrStoreNotFound) {
+		return floorsRecord{}, 0, nil
+	}
+	if err != nil {
+		return floorsRecord{}, 0, err
+	}
+	var record floorsRecord
+	if err := json.Unmarshal(entry.Value, &record); err != nil {
+		// What the former home left is not known, so nothing is.
+		registry.Log.Error().Str("event", "record-invalid").Str("key", string(entry.Key)).Err(err).Send()
+		return floorsRecord{}, entry.Revision, nil
+	}
+	return record, entry.Revision, nil
+}
+
+func (registry *Registry) floorsSwap(group allowance.Group, floors allowance.Floors, expected balsamproxy.Revision) (balsamproxy.StoreSwap, error) {
+	value, err := json.Marshal(floorsRecord{Host: registry.Host, Incarnation: registry.Incarnation, Floors: floors})
+	return balsamproxy.StoreSwap{Key: registry.floorsKey(group), Value: value, Expected: expected}, err
+}
+
+// takeTenure begins a tenure, or goes on with the one that this daemon had if
+// no other daemon had it since.
+func (registry *Registry) takeTenure(ctx context.Context, group allowance.Group, swap balsamproxy.StoreSwap) error {
+	record, standing, err := registry.readFloors(ctx, group)
+	if err != nil {
+		return err
+	}
+	registry.mutex.Lock()
+	began, continues := registry.terms[group]
+	registry.mutex.Unlock()
+	continues = continues && began.revision == standing
+	floors := allowance.Floors{}
+	if continues {
+		floors = record.Floors
+	}
+	written, err := registry.floorsSwap(group, floors, standing)
+	if err != nil {
+		return err
+	}
+	revision, err := registry.Store.Transact(ctx, balsamproxy.StoreTransaction{Swaps: []balsamproxy.StoreSwap{swap, written}})
+	if err != nil {
+		return err
+	}
+	if !continues {
+		began = term{since: registry.Clock.Boot(), left: record.Floors}
+	}
+	began.floors, began.revision, began.tenure = floors, revision, revision
+	registry.hold(group, began)
+	return nil
+}
+
+func (registry *Registry) hold(group allowance.Group, began term) {
+	registry.mutex.Lock()
+	if registry.leaving {
+		// The record ends with its lease, which is not renewed any more.
+		registry.mutex.Unlock()
+		return
+	}
+	if registry.held == nil {
+		registry.held = map[allowance.Group]balsamproxy.BootTime{}
+	}
+	if registry.terms == nil {
+		registry.terms = map[allowance.Group]term{}
+	}
+	registry.held[group] = began.since
+	registry.terms[group] = began
+	if registry.tenures == nil {
+		registry.tenures = map[allowance.Group]tenure{}
+	}
+	delete(registry.freeSince, group)
+	own := homes.Tenure{Host: registry.Host, Incarnation: registry.Incarnation}
+	registry.tenures[group] = tenure{Tenure: own, revision: began.tenure}
+	registry.mutex.Unlock()
+	registry.Log.Info().Str("event", "tenure-taken").Int("group", int(group)).Int64("revision", int64(began.revision)).
+		Int("accounts-with-floor", len(began.left)).Send()
+	registry.HomesChanged()
+}
+
+// Left returns what the home before a term left of an account.
+func (registry *Registry) Left(asked allowance.Term, account balsamproxy.ClientAccountID) int {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	began := registry.terms[asked.Group]
+	if !began.is(asked) {
+		return 0
+	}
+	return began.left[account]
+}
+
+// Terms returns the terms of the tenures that this daemon holds.
+func (registry *Registry) Terms() []allowance.Term {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	terms := []allowance.Term{}
+	for group := range allowance.Group(allowance.Groups) {
+		if since, holds := registry.held[group]; holds {
+			terms = append(terms, allowance.Term{Group: group, Since: since.Time()})
+		}
+	}
+	return terms
+}
+
+// WriteFloors writes the floors of a term. Only after it has returned without
+// an error may the home spend below the floors that stood before.
+func (registry *Registry) WriteFloors(ctx context.Context, asked allowance.Term, floors allowance.Floors) error {
+	registry.mutex.Lock()
+	began := registry.terms[asked.Group]
+	registry.mutex.Unlock()
+	if !began.is(asked) {
+		return balsamproxy.ErrStoreConflict
+	}
+	if began.revision == 0 {
+		if err := registry.settleFloors(ctx, asked); err != nil {
+			return err
+		}
+		return registry.WriteFloors(ctx, asked, floors)
+	}
+	swap, err := registry.floorsSwap(asked.Group, floors, began.revision)
+	if err != nil {
+		return err
+	}
+	revision, err := registry.Store.Swap(ctx, swap)
+	switch {
+	case err == nil:
+		registry.setFloors(asked, floors, revision)
+	case errors.Is(err, balsamproxy.ErrStoreUnsettled), errors.Is(err, balsamproxy.ErrStoreConflict):
+		// The record may be this write, or one of it that came late.
+		registry.setFloors(asked, began.floors, 0)
+	}
+	return err
+}
+
+// settleFloors reads which floors stand after an answer was lost.
+func (registry *Registry) settleFloors(ctx context.Context, asked allowance.Term) error {
+	record, revision, err := registry.readFloors(ctx, asked.Group)
+	if err != nil {
+		return err
+	}
+	if record.Host != registry.Host || record.Incarnation != registry.Incarnation {
+		registry.endTerm(asked)
+		return balsamproxy.ErrStoreConflict
+	}
+	registry.setFloors(asked, record.Floors, revision)
+	return nil
+}
+
+func (registry *Registry) setFloors(asked allowance.Term, floors allowance.Floors, revision balsamproxy.Revision) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	began := registry.terms[asked.Group]
+	if !began.is(asked) {
+		return
+	}
+	began.floors, began.revision = floors, revision
+	registry.terms[asked.Group] = began
+}
+
+// endTerm notes that another daemon has begun a later term.
+func (registry *Registry) endTerm(asked allowance.Term) {
+	registry.mutex.Lock()
+	delete(registry.terms, asked.Group)
+	delete(registry.held, asked.Group)
+	registry.mutex.Unlock()
+	registry.Log.Warn().Str("event", "tenure-lost").Int("group", int(asked.Group)).Send()
+	registry.HomesChanged()
+}
+
+// handOver ends tenures and writes down what is left of each, so that the next
+// home can go on with it.
+func (registry *Registry) handOver(ctx context.Context, groups []allowance.Group) error {
+	for ending := range slices.Chunk(groups, handOverMax) {
+		transaction := balsamproxy.StoreTransaction{}
+		for _, group := range ending {
+			registry.mutex.Lock()
+			began := registry.terms[group]
+			delete(registry.terms, group)
+			registry.mutex.Unlock()
+			left := registry.Close(allowance.Term{Group: group, Since: began.since.Time()})
+			swap, err := registry.floorsSwap(group, left, began.revision)
+			if err != nil {
+				return err
+			}
+			transaction.Swaps = append(transaction.Swaps, swap)
+			transaction.Removals = append(transaction.Removals, balsamproxy.StoreRemoval{
+				Key: registry.homeKey(group), Expected: began.tenure,
+			})
+		}
+		if _, err := registry.Store.Transact(ctx, transaction); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/registry/terms_test.go
@@ -0,0 +1,214 @@
+package registry
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"balsamproxy"
+	"balsamproxy/core/allowance"
+)
+
+// fakeStore keeps keys in memory. A lost answer is one of a write that took
+// effect.
+type fakeStore struct {
+	entries  map[balsamproxy.StoreKey]balsamproxy.StoreEntry
+	revision balsamproxy.Revision
+	lease    balsamproxy.LeaseID
+	lose     bool
+}
+
+func (store *fakeStore) Get(_ context.Context, key balsamproxy.StoreKey) (balsamproxy.StoreEntry, error) {
+	entry, found := store.entries[key]
+	if !found {
+		return entry, balsamproxy.ErrStoreNotFound
+	}
+	return entry, nil
+}
+
+func (store *fakeStore) Revisions(ctx context.Context, prefix balsamproxy.StoreKey) (balsamproxy.StoreSnapshot, error) {
+	return store.Range(ctx, prefix)
+}
+
+func (store *fakeStore) Range(_ context.Context, prefix balsamproxy.StoreKey) (balsamproxy.StoreSnapshot, error) {
+	snapshot := balsamproxy.StoreSnapshot{Revision: store.revision}
+	for key, entry := range store.entries {
+		if strings.HasPrefix(string(key), string(prefix)) {
+			snapshot.Entries = append(snapshot.Entries, entry)
+		}
+	}
+	return snapshot, nil
+}
+
+func (store *fakeStore) Swap(ctx context.Context, swap balsamproxy.StoreSwap) (balsamproxy.Revision, error) {
+	return store.Transact(ctx, balsamproxy.StoreTransaction{Swaps: []balsamproxy.StoreSwap{swap}})
+}
+
+func (store *fakeStore) Transact(_ context.Context, transaction balsamproxy.StoreTransaction) (balsamproxy.Revision, error) {
+	for _, swap := range transaction.Swaps {
+		if store.entries[swap.Key].Revision != swap.Expected {
+			return 0, balsamproxy.ErrStoreConflict
+		}
+	}
+	for _, removal := range transaction.Removals {
+		if store.entries[removal.Key].Revision != removal.Expected {
+			return 0, balsamproxy.ErrStoreConflict
+		}
+	}
+	store.revision++
+	for _, swap := range transaction.Swaps {
+		store.entries[swap.Key] = balsamproxy.StoreEntry{Key: swap.Key, Value: swap.Value, Revision: store.revision}
+	}
+	for _, removal := range transaction.Removals {
+		delete(store.entries, removal.Key)
+	}
+	if store.lose {
+		return 0, balsamproxy.ErrStoreUnsettled
+	}
+	return store.revision, nil
+}
+
+func (store *fakeStore) Grant(context.Context, time.Duration) (balsamproxy.LeaseID, error) {
+	store.lease++
+	return store.lease, nil
+}
+
+func (*fakeStore) KeepAlive(context.Context, balsamproxy.LeaseID) error { return nil }
+
+func (*fakeStore) Revoke(context.Context, balsamproxy.LeaseID) error { return nil }
+
+func (*fakeStore) Watch(ctx context.Context, _ balsamproxy.StoreKey, _ balsamproxy.Revision, _ chan<- balsamproxy.StoreEvent) error {
+	return ctx.Err()
+}
+
+func (store *fakeStore) Changes(context.Context, balsamproxy.StoreKey, balsamproxy.Revision, time.Duration) (balsamproxy.StoreChanges, error) {
+	return balsamproxy.StoreChanges{Revision: store.revision}, nil
+}
+
+// fakeClock is set by hand.
+type fakeClock struct{ now balsamproxy.BootTime }
+
+func (clock *fakeClock) Boot() balsamproxy.BootTime { return clock.now }
+
+const group allowance.Group = 3
+
+// home is one daemon with its registry.
+type home struct {
+	*Registry
+	clock *fakeClock
+}
+
+func newHome(store *fakeStore, host balsamproxy.HostID, incarnation string) home {
+	clock := &fakeClock{now: balsamproxy.BootTime(time.Duration(len(store.entries)+1) * time.Minute)}
+	return home{clock: clock, Registry: &Registry{
+		Store: store, Host: host, Incarnation: incarnation, Clock: clock, Log: zerolog.Nop(),
+		HomesChanged: func() {},
+		Close:        func(allowance.Term) allowance.Floors { return allowance.Floors{"closed": 7} },
+	}}
+}
+
+// take lets a home take the tenure, whose former record has ended.
+func (home home) take(t *testing.T) allowance.Term {
+	t.Helper()
+	home.clock.now += balsamproxy.BootTime(time.Second)
+	swap := balsamproxy.StoreSwap{Key: home.homeKey(group), Value: []byte("{}"), Lease: 1}
+	assert.NilError(t, home.takeTenure(t.Context(), group, swap))
+	return home.Terms()[0]
+}
+
+// lapse ends the tenure's record and tells its home so.
+func (home home) lapse(store *fakeStore) {
+	delete(store.entries, home.homeKey(group))
+	home.loseTenures(errLapsed)
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{entries: map[balsamproxy.StoreKey]balsamproxy.StoreEntry{}}
+}
+
+func TestTerms(t *testing.T) {
+	floors := allowance.Floors{"planner": 40}
+	cases := map[string]struct {
+		// between happens after the first home has written its floors.
+		between func(t *testing.T, store *fakeStore, first home) home
+		left    int
+		goesOn  bool
+	}{
+		"another home begins with the floor": {func(_ *testing.T, store *fakeStore, first home) home {
+			first.lapse(store)
+			return newHome(store, "b", "b1")
+		}, 40, false},
+		"a home that starts again does too": {func(_ *testing.T, store *fakeStore, first home) home {
+			first.lapse(store)
+			return newHome(store, "a", "a2")
+		}, 40, false},
+		"a home that only lost its lease goes on": {func(_ *testing.T, store *fakeStore, first home) home {
+			first.lapse(store)
+			return first
+		}, 0, true},
+		"not after another one had the tenure": {func(t *testing.T, store *fakeStore, first home) home {
+			first.lapse(store)
+			other := newHome(store, "b", "b1")
+			other.take(t)
+			other.lapse(store)
+			return first
+		}, 0, false},
+		"a planned stop leaves what was not lent": {func(t *testing.T, store *fakeStore, first home) home {
+			first.Leave(t.Context())
+			assert.Equal(t, len(first.Terms()), 0)
+			return newHome(store, "b", "b1")
+		}, 0, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			store := newFakeStore()
+			first := newHome(store, "a", "a1")
+			began := first.take(t)
+			assert.Equal(t, first.Left(began, "planner"), 0)
+			assert.NilError(t, first.WriteFloors(t.Context(), began, floors))
+			next := test.between(t, store, first)
+			term := next.take(t)
+			assert.Equal(t, term == began, test.goesOn)
+			assert.Equal(t, next.Left(term, "planner"), test.left)
+			if strings.HasPrefix(name, "a planned stop") {
+				assert.Equal(t, next.Left(term, "closed"), 7)
+			}
+		})
+	}
+}
+
+// TestLostAnswerOfFloors loses the answer to a write that took effect: the
+// home may not rely on it, and goes on once it has read what stands.
+func TestLostAnswerOfFloors(t *testing.T) {
+	store := newFakeStore()
+	home := newHome(store, "a", "a1")
+	term := home.take(t)
+	store.lose = true
+	err := home.WriteFloors(t.Context(), term, allowance.Floors{"planner": 40})
+	assert.ErrorIs(t, err, balsamproxy.ErrStoreUnsettled)
+	store.lose = false
+	assert.NilError(t, home.WriteFloors(t.Context(), term, allowance.Floors{"planner": 10}))
+	home.lapse(store)
+	next := newHome(store, "b", "b1")
+	assert.Equal(t, next.Left(next.take(t), "planner"), 10)
+}
+
+// TestOldHomeCannotWriteFloors lets a home write that does not know yet that
+// another one follows it.
+func TestOldHomeCannotWriteFloors(t *testing.T) {
+	store := newFakeStore()
+	old := newHome(store, "a", "a1")
+	term := old.take(t)
+	delete(store.entries, old.homeKey(group))
+	next := newHome(store, "b", "b1")
+	next.take(t)
+	for range 2 {
+		err := old.WriteFloors(t.Context(), term, allowance.Floors{"planner": 40})
+		assert.ErrorIs(t, err, balsamproxy.ErrStoreConflict)
+	}
+	assert.Equal(t, len(old.Terms()), 0)
+}
--- a/store.go
+++ b/store.go
@@ -73,6 +73,26 @@
 	Swap(ctx context.Context, swap StoreSwap) (Revision, error)
 }
 
+// StoreTransaction asks for several keys to be changed together, or none.
+type StoreTransaction struct {
+	Swaps []StoreSwap
+	// Removals are keys to remove, with the revisions that must stand.
+	Removals []StoreRemoval
+}
+
+// StoreRemoval asks for a key to be removed if it is still at Expected.
+type StoreRemoval struct {
+	Key      StoreKey
+	Expected Revision
+}
+
+// StoreTransactor changes several keys of the platform's store at once.
+type StoreTransactor interface {
+	// Transact makes all changes of a transaction or none, and returns the
+	// new revision of the written keys. It fails as Swap does.
+	Transact(ctx context.Context, transaction StoreTransaction) (Revision, error)
+}
+
 // StoreLeaser handles leases of the platform's store.
 type StoreLeaser interface {
 	// Grant creates a lease with a time to live.
