Try calls that have a fair chance to end in time

Cause: a door refused each call with less time left than its kind usually takes. A nested call is tried while a third of the usual time is left, a new one with 0.6 of it if a slot is free. A request waits half of its time for a home of its allowance, since route time-outs are short.

--- a/core/door/door.go
+++ b/core/door/door.go
@@ -91,6 +91,14 @@
 	headroomFactor = 2.0
 	// headroomPart bounds the slots kept free, as a part of all.
 	headroomPart = 0.25
+	// freePart and nestedPart are the parts of the usual work for which time
+	// must be left: to a call that finds a free slot, and to a nested one.
+	// Work varies by half its usual time, so one call in five ends in less
+	// than freePart of it. A nested call carries the work of a whole request,
+	// and is tried while one in thirty would end in time. All others take
+	// their slots from calls that wait, and must have the usual time left.
+	freePart   = 0.6
+	nestedPart = 0.35
 	// queueFactor bounds the queue as a multiple of the slots.
 	queueFactor = 2
 )
@@ -115,7 +123,7 @@
 func (door *Door) Enter(request Request, now time.Time) (Verdict, []Decision) {
 	request.arrived = now
 	door.average(now)
-	if door.tooLate(request, now) {
+	if now.Add(door.leastFree(request)).After(request.Deadline) {
 		return Expired, nil
 	}
 	if door.free(request) && !door.overtakes(request) {
@@ -123,7 +131,7 @@
 		return Admitted, nil
 	}
 	if wait := door.expectedWait(request); wait > request.Patience ||
-		now.Add(wait+door.Work(request.Kind)).After(request.Deadline) {
+		now.Add(wait+door.least(request)).After(request.Deadline) {
 		return Full, nil
 	}
 	if len(door.waiting) < door.slots*queueFactor {
@@ -176,9 +184,25 @@
 	}
 }
 
-// tooLate says whether a call cannot end in time if it takes as long as usual.
+// least returns the least time that must be left to a call that takes a slot
+// from others that wait.
+func (door *Door) least(request Request) time.Duration {
+	work := door.Work(request.Kind)
+	if request.Nested {
+		return time.Duration(nestedPart * float64(work))
+	}
+	return work
+}
+
+// leastFree returns the least time that must be left to a call that finds a
+// free slot.
+func (door *Door) leastFree(request Request) time.Duration {
+	return min(door.least(request), time.Duration(freePart*float64(door.Work(request.Kind))))
+}
+
+// tooLate says whether a call that waits has no fair chance to end in time.
 func (door *Door) tooLate(request Request, now time.Time) bool {
-	return now.Add(door.Work(request.Kind)).After(request.Deadline)
+	return now.Add(door.least(request)).After(request.Deadline)
 }
 
 // expectedWait returns how long a call would wait behind those that go first.
--- a/core/door/door_test.go
+++ b/core/door/door_test.go
@@ -69,6 +69,33 @@
 	}
 }
 
+// TestChanceToEnd lets calls ask whose time left is less than usual calls take:
+// some of them end in time, and refusing a nested one loses a whole request.
+func TestChanceToEnd(t *testing.T) {
+	cases := map[string]struct {
+		nested bool
+		left   time.Duration
+		want   door.Verdict
+	}{
+		"new, a little less":      {false, 80 * time.Millisecond, door.Admitted},
+		"new, half":               {false, 50 * time.Millisecond, door.Expired},
+		"nested, half":            {true, 50 * time.Millisecond, door.Admitted},
+		"nested, next to no time": {true, 20 * time.Millisecond, door.Expired},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			var held door.Door
+			held.SetSlots(1, start)
+			_, _ = held.Enter(request(1, 3, false), start)
+			held.Leave(door.Ended{Kind: "look", Work: 100 * time.Millisecond}, start)
+			asked := request(2, 3, test.nested)
+			asked.Deadline = start.Add(test.left)
+			verdict, _ := held.Enter(asked, start)
+			assert.Equal(t, verdict, test.want)
+		})
+	}
+}
+
 func TestWaitingCallExpires(t *testing.T) {
 	var held door.Door
 	held.SetSlots(1, start)
--- a/io/lending/spender.go
+++ b/io/lending/spender.go
@@ -26,7 +26,7 @@
 	homelessPause = 50 * time.Millisecond
 	// homelessParts gives the part of the time left that a request waits for
 	// a home: a caller that comes back once then still has time to be served.
-	homelessParts = 3
+	homelessParts = 2
 	// homelessMax bounds that wait for callers that do not say how long they
 	// wait; a home that is gone for good is replaced about as soon.
 	homelessMax = 4 * time.Second
