Give each tenure a backup that follows at once, and promises over outages

The lease is 1.5 s now, and its record names a backup, which reads the records as soon as the holder does not answer, and takes the tenure when they lack it. So that a store that is away ends no tenure, its holder goes on while the backup promises to leave it alone; all others wait for 3 s longer. Renewals have a loop of their own.

Found on the way: a third of the links came back 1.2 s after all hosts had lost power, since the kernel sends a lost opening packet again after a second (98 of 270 links at 34.5 s); connections are tried again after 0.3 s. A stop was not known as such if the last list was old. While the store was away, homes tried to renew ten times a second.

Ruled out: a lease of 2 s alone (an outage ends all homes 1.5 s before the evidence). TestPromises failed first where the backup ignored promises.

--- a/core/homes/ranks.go
+++ b/core/homes/ranks.go
@@ -4,7 +4,6 @@
 package homes
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
@@ -14,9 +13,21 @@
 	"balsamproxy/core/allowance"
 )
 
-// rankDelay is how long the next daemon in rank waits for the one before it to
-// take a tenure that is free.
-const rankDelay = 700 * time.Millisecond
+const (
+	// rankDelay is how long the next daemon in rank waits for the one before
+	// it to take a tenure that is free.
+	rankDelay = 700 * time.Millisecond
+	// PromiseTime is how long a backup leaves a tenure alone after it has
+	// promised that to the holder, and PromiseHold how long the holder relies
+	// on the promise, counted from before it asked: clocks may run a little
+	// apart.
+	PromiseTime = 1200 * time.Millisecond
+	PromiseHold = time.Second
+	// OthersWait is how long daemons other than the backup leave a tenure
+	// alone whose record is gone: so long its holder may go on by promises of
+	// the backup, over an outage of the store.
+	OthersWait = 3 * time.Second
+)
 
 // Rank returns how many of the present hosts go before one host for a group.
 func Rank(group allowance.Group, host balsamproxy.HostID, present []balsamproxy.HostID) int {
@@ -34,39 +45,76 @@
 	return xxhash.Sum64String(strconv.Itoa(int(group)) + "/" + string(host))
 }
 
+// Backup returns the host that may follow a holder first, if there is one.
+func Backup(group allowance.Group, holder balsamproxy.HostID, present []balsamproxy.HostID) balsamproxy.HostID {
+	var backup balsamproxy.HostID
+	for _, host := range present {
+		if host != holder && (backup == "" || score(group, host) > score(group, backup)) {
+			backup = host
+		}
+	}
+	return backup
+}
+
 // Tenure is the store's record of the home of one group.
 type Tenure struct {
 	Host        balsamproxy.HostID `json:"host"`
 	Incarnation string             `json:"incarnation"`
 }
 
+// Former is what stands of the last home of a group when its tenure has ended.
+type Former struct {
+	Host        balsamproxy.HostID `json:"host"`
+	Incarnation string             `json:"incarnation"`
+	// Backup is the host that may follow first.
+	Backup balsamproxy.HostID `json:"backup,omitempty"`
+	// Closed says that the home ended its tenure itself.
+	Closed bool `json:"closed,omitempty"`
+}
+
 // Candidate is what one daemon knows when it decides whether to take a tenure.
 type Candidate struct {
 	Host    balsamproxy.HostID
 	Present []balsamproxy.HostID
+	// Running is how long this daemon has been running.
+	Running time.Duration
 	// Tenure is the record that stands, if any.
 	Tenure *Tenure
-	// Free is how long no tenure has stood.
+	// Former is the last home; its zero value says that there was none.
+	Former Former
+	// Free is how long this daemon has known that no tenure stands.
 	Free time.Duration
+	// Promised says that this daemon has promised to leave the tenure alone.
+	Promised bool
 }
 
 // Takes says whether a daemon that does not hold the tenure of a group should
-// try to take it: at once if the record names its own host, in an earlier run
-// or under a lease that it could not renew in time, and a free one when its
-// turn has come.
+// try to take it: at once if its own host held it last, in an earlier run or
+// under a lease that it could not renew in time, or if it is the backup;
+// otherwise when the last home cannot be at work any more and its turn has
+// come.
 func Takes(group allowance.Group, candidate Candidate) bool {
 	if candidate.Tenure != nil {
 		return candidate.Tenure.Host == candidate.Host
 	}
-	rank := Rank(group, candidate.Host, candidate.Present)
-	return candidate.Free >= time.Duration(rank)*rankDelay
+	former := candidate.Former
+	turn := time.Duration(Rank(group, candidate.Host, candidate.Present)) * rankDelay
+	switch {
+	case candidate.Promised:
+		return false
+	case former.Host == candidate.Host:
+		return true
+	case former.Host == "" || former.Closed:
+		return candidate.Free >= turn
+	case former.Backup == candidate.Host:
+		// An earlier run may have given a promise.
+		return candidate.Running >= PromiseTime
+	}
+	return candidate.Free >= OthersWait+turn
 }
 
 // Successor says whether a daemon is the one that should watch for the end of
 // a tenure whose holder cannot be reached.
 func Successor(group allowance.Group, host, holder balsamproxy.HostID, present []balsamproxy.HostID) bool {
-	if slices.Contains(present, holder) {
-		return false
-	}
-	return Rank(group, host, present) == 0
+	return host != holder && Backup(group, holder, present) == host
 }
--- a/core/homes/ranks_test.go
+++ b/core/homes/ranks_test.go
@@ -36,31 +36,48 @@
 	if other == leader {
 		other = present[1]
 	}
+	const running = time.Minute
+	former := homes.Former{Host: "gone", Incarnation: "x", Backup: other}
+	closed := former
+	closed.Closed = true
 	cases := map[string]struct {
-		host   balsamproxy.HostID
-		tenure *homes.Tenure
-		free   time.Duration
-		want   bool
+		candidate homes.Candidate
+		want      bool
 	}{
-		"free, first in rank":    {leader, nil, 0, true},
-		"free, later in rank":    {other, nil, 0, false},
-		"free for long":          {other, nil, time.Minute, true},
-		"held by another":        {leader, &homes.Tenure{Host: other, Incarnation: "x"}, time.Minute, false},
-		"held by an earlier run": {other, &homes.Tenure{Host: other, Incarnation: "old"}, 0, true},
+		"free, first in rank":    {homes.Candidate{Host: leader}, true},
+		"free, later in rank":    {homes.Candidate{Host: other}, false},
+		"free for long":          {homes.Candidate{Host: other, Free: time.Minute}, true},
+		"held by another":        {homes.Candidate{Host: leader, Tenure: &homes.Tenure{Host: other, Incarnation: "x"}, Free: time.Minute}, false},
+		"held by an earlier run": {homes.Candidate{Host: other, Tenure: &homes.Tenure{Host: other, Incarnation: "old"}}, true},
 		// Its lease could not be renewed in time, but the store still has it.
-		"held under a lease given up": {leader, &homes.Tenure{Host: leader, Incarnation: "now"}, 0, true},
+		"held under a lease given up": {homes.Candidate{Host: leader, Tenure: &homes.Tenure{Host: leader, Incarnation: "now"}}, true},
+
+		"home gone, backup":                        {homes.Candidate{Host: other, Former: former, Running: running}, true},
+		"home gone, backup that has promised":      {homes.Candidate{Host: other, Former: former, Running: running, Promised: true}, false},
+		"home gone, backup that just started":      {homes.Candidate{Host: other, Former: former, Running: homes.PromiseHold}, false},
+		"home gone, another one at once":           {homes.Candidate{Host: leader, Former: former, Running: running}, false},
+		"home gone for long, another one":          {homes.Candidate{Host: leader, Former: former, Running: running, Free: homes.OthersWait}, true},
+		"home stopped, first in rank":              {homes.Candidate{Host: leader, Former: closed}, true},
+		"home stopped, first in rank has promised": {homes.Candidate{Host: leader, Former: closed, Promised: true}, false},
+		"own host held it, record gone":            {homes.Candidate{Host: leader, Former: homes.Former{Host: leader, Backup: other}}, true},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			candidate := homes.Candidate{
-				Host: test.host, Present: present, Tenure: test.tenure, Free: test.free,
-			}
-			assert.Equal(t, homes.Takes(0, candidate), test.want)
+			test.candidate.Present = present
+			assert.Equal(t, homes.Takes(0, test.candidate), test.want)
 		})
 	}
 }
 
+func TestBackup(t *testing.T) {
+	backup := homes.Backup(0, first(), present)
+	assert.Assert(t, backup != first() && backup != "")
+	assert.Equal(t, homes.Backup(0, "a", []balsamproxy.HostID{"a"}), balsamproxy.HostID(""))
+	assert.Equal(t, homes.Backup(0, "gone", present), first())
+}
+
 func TestSuccessor(t *testing.T) {
 	assert.Assert(t, homes.Successor(0, first(), "gone", present))
-	assert.Assert(t, !homes.Successor(0, first(), "a", present))
+	assert.Assert(t, homes.Successor(0, homes.Backup(0, first(), present), first(), present))
+	assert.Assert(t, !homes.Successor(0, first(), first(), present))
 }
--- a/io/lending/spender.go
+++ b/io/lending/spender.go
@@ -44,6 +44,8 @@
 	// Holds says whether this daemon is home of a group at an instant, and
 	// since when.
 	Holds(group allowance.Group, now balsamproxy.BootTime) (since balsamproxy.BootTime, holds bool)
+	// Suspect notes that the home of a group did not answer.
+	Suspect(group allowance.Group)
 	// Terms returns the terms that this daemon holds.
 	Terms() []allowance.Term
 	// Left returns how many tokens of an account the home before a term left.
@@ -157,13 +159,16 @@
 	if !known || home == spender.Host {
 		return nil, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
+	asking, cancel := context.WithTimeout(ctx, lendTimeout)
 	defer cancel()
 	sentAt := spender.Clock.Boot().Time()
 	request := spender.Purse.Request(account, home, 1, sentAt)
-	answer, err := peer.Ask[allowance.LoanRequest, allowance.LoanAnswer](ctx, spender.Pool, home, kindLoan, request)
+	answer, err := peer.Ask[allowance.LoanRequest, allowance.LoanAnswer](asking, spender.Pool, home, kindLoan, request)
 	if err != nil {
 		spender.Metrics.Counter("allowance_loans_failed").Inc(1)
+		if ctx.Err() == nil {
+			spender.Homes.Suspect(group)
+		}
 		return nil, false
 	}
 	spender.Metrics.Counter("allowance_loans").Inc(1)
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -194,6 +194,7 @@
 			daemon.dialSoon()
 		},
 		HomesChanged: daemon.announce,
+		AskPromise:   daemon.askPromise,
 		Close:        func(term allowance.Term) allowance.Floors { return daemon.spender.Close(term) },
 		Log:          daemon.log,
 	}
@@ -208,6 +209,7 @@
 		changed:  daemon.announce,
 		log:      daemon.log,
 	}
+	daemon.servePromises(daemon.links)
 	daemon.documents.serve(daemon.links)
 	daemon.documents.relay = &relay{documents: daemon.documents, pool: daemon.pool, view: daemon.view}
 	daemon.documents.relay.serve(daemon.links)
@@ -245,6 +247,9 @@
 	return homes.daemon.registry.Holds(group, now)
 }
 
+// Suspect notes that the home of a group did not answer.
+func (homes homes) Suspect(group allowance.Group) { homes.daemon.registry.Suspect(group) }
+
 // Terms returns the terms that this daemon holds.
 func (homes homes) Terms() []allowance.Term { return homes.daemon.registry.Terms() }
 
@@ -296,6 +301,7 @@
 		Targets:     daemon.local.Targets(),
 		Config:      daemon.documents.version(),
 		Homes:       daemon.registry.Held(),
+		Backups:     daemon.registry.Backups(),
 		Crashes:     daemon.crashes.told(daemon.clock.Now()),
 	}
 }
--- a/io/mesh/run.go
+++ b/io/mesh/run.go
@@ -101,6 +101,7 @@
 	running.startPart(daemon.documents.run)
 	running.startPart(daemon.registry.Run)
 	running.startPart(daemon.registry.RunLists)
+	running.startPart(daemon.registry.RunLeases)
 	running.startPart(daemon.spender.RunFloors)
 	running.startPart(daemon.local.Run)
 	running.startPart(daemon.runAnnounce)
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -28,6 +28,9 @@
 	HeaderHost = "Balsam-Host"
 
 	dialTimeout = time.Second
+	// connectTimeout bounds the connection itself: the kernel sends a lost
+	// opening packet again after a second, a new try comes sooner.
+	connectTimeout = 300 * time.Millisecond
 	// dialPatience is how long a call waits while another one dials.
 	dialPatience = 100 * time.Millisecond
 	// dialBackOffMin is the pause after a failed dial; it doubles with each
@@ -210,7 +213,7 @@
 		HandshakeTimeout: dialTimeout,
 		ReadBufferSize:   bufferBytes,
 		WriteBufferSize:  bufferBytes,
-		NetDialContext:   (&net.Dialer{Control: boundUnacknowledged}).DialContext,
+		NetDialContext:   (&net.Dialer{Timeout: connectTimeout, Control: boundUnacknowledged}).DialContext,
 	}
 	if pool.Compresses != nil && pool.Compresses(member) {
 		dialer.Subprotocols = []string{compressedProtocol}
--- a/io/registry/leases.go
+++ b/io/registry/leases.go
@@ -5,43 +5,73 @@
 	"errors"
 
 	"balsamproxy"
+	"balsamproxy/core/allowance"
+	"balsamproxy/core/homes"
+	"balsamproxy/task"
 )
 
-// keepLeases grants the lease of the host and renews those that are due.
-func (registry *Registry) keepLeases(ctx context.Context) error {
+// RunLeases keeps the tenures until ctx ends.
+func (registry *Registry) RunLeases(ctx context.Context) error {
+	for task.Sleep(ctx, stepInterval) {
+		registry.renewTenures(ctx)
+		registry.askPromises(ctx)
+		registry.dropLapsed()
+	}
+	return ctx.Err()
+}
+
+// keepHostLease grants the lease of the host or renews it when that is due.
+func (registry *Registry) keepHostLease(ctx context.Context) error {
 	began := registry.Clock.Boot()
 	registry.mutex.Lock()
-	hostLease, hostRenewedAt := registry.hostLease, registry.hostRenewedAt
-	lease, renewedAt := registry.lease, registry.renewedAt
-	holds, leaving := len(registry.held) > 0, registry.leaving
+	lease, renewedAt, leaving := registry.hostLease, registry.hostRenewedAt, registry.leaving
 	registry.mutex.Unlock()
-	if leaving {
+	switch {
+	case leaving:
 		return nil
-	}
-	if holds && lease != 0 && began.Sub(renewedAt) >= renewInterval {
-		if err := registry.renewTenures(ctx, lease, began); err != nil {
-			return err
-		}
-	}
-	if hostLease == 0 {
+	case lease == 0:
 		return registry.grantHostLease(ctx, began)
-	}
-	if began.Sub(hostRenewedAt) >= hostRenewInterval {
-		return registry.renewHost(ctx, hostLease, began)
+	case began.Sub(renewedAt) >= hostRenewInterval:
+		return registry.renewHost(ctx, lease, began)
 	}
 	return nil
 }
 
-func (registry *Registry) renewTenures(ctx context.Context, lease balsamproxy.LeaseID, began balsamproxy.BootTime) error {
+// renewTenures renews the lease of the tenures when that is due.
+func (registry *Registry) renewTenures(ctx context.Context) {
+	began := registry.Clock.Boot()
+	registry.mutex.Lock()
+	lease, holds := registry.lease, len(registry.held) > 0
+	due := began.Sub(registry.renewedAt) >= renewInterval && began.Sub(registry.triedAt) >= renewPause
+	if holds && lease != 0 && due {
+		registry.triedAt = began
+	}
+	registry.mutex.Unlock()
+	if !holds || lease == 0 || !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
 	err := registry.Store.KeepAlive(ctx, lease)
 	switch {
 	case err == nil:
-		registry.setLease(lease, began)
+		registry.note(nil)
+		registry.renewed(lease, began)
 	case errors.Is(err, balsamproxy.ErrStoreLeaseLost):
+		registry.note(nil)
 		registry.loseTenures(err)
-		return nil
+	default:
+		registry.note(err)
+	}
+}
+
+// renewed notes a renewal, unless the lease was replaced meanwhile.
+func (registry *Registry) renewed(lease balsamproxy.LeaseID, began balsamproxy.BootTime) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	if registry.lease == lease {
+		registry.renewedAt = began
 	}
-	return err
 }
 
 func (registry *Registry) grantHostLease(ctx context.Context, began balsamproxy.BootTime) error {
@@ -120,16 +150,32 @@
 	return granted, nil
 }
 
-// dropLapsed gives tenures up whose lease may have ended while the store could
-// not be reached, so that others learn of it.
+// dropLapsed gives tenures up that another daemon may have taken, so that
+// others learn of it.
 func (registry *Registry) dropLapsed() {
 	now := registry.Clock.Boot()
 	registry.mutex.Lock()
-	lapsed := len(registry.held) > 0 && now.Sub(registry.renewedAt) >= leaseTime-leaseMargin
+	lapsed := len(registry.held) > 0 && !registry.leaseHoldsLocked(now)
+	for group := range registry.held {
+		lapsed = lapsed && !registry.promiseHoldsLocked(group, now)
+	}
 	registry.mutex.Unlock()
 	if lapsed {
 		registry.loseTenures(errLapsed)
 	}
 }
 
+// leaseHoldsLocked says whether the store still has the tenures at an instant.
+func (registry *Registry) leaseHoldsLocked(now balsamproxy.BootTime) bool {
+	return now.Sub(registry.renewedAt) < leaseTime-leaseMargin
+}
+
+// promiseHoldsLocked says whether nobody can have taken a tenure though the
+// store may not have it any more: its backup has promised not to, and others
+// wait for longer.
+func (registry *Registry) promiseHoldsLocked(group allowance.Group, now balsamproxy.BootTime) bool {
+	return now < registry.terms[group].promisedUntil &&
+		now.Sub(registry.renewedAt) < leaseTime+homes.OthersWait-leaseMargin
+}
+
 var errLapsed = errors.New("registry: the lease could not be renewed in time")
--- a/io/registry/list.go
+++ b/io/registry/list.go
@@ -61,17 +61,24 @@
 
 // list reads all records.
 func (registry *Registry) list(ctx context.Context) error {
+	registry.mutex.Lock()
+	registry.listedAt = registry.Clock.Boot()
+	registry.mutex.Unlock()
 	snapshot, err := registry.Store.Range(ctx, registry.Prefix)
 	if err != nil {
 		return err
 	}
 	members := map[balsamproxy.HostID]balsamproxy.Member{}
 	tenures := map[allowance.Group]tenure{}
+	formers := map[allowance.Group]homes.Former{}
 	for _, entry := range snapshot.Entries {
-		if err := registry.sort(entry, members, tenures); err != nil {
+		if err := registry.sort(entry, members, tenures, formers); err != nil {
 			registry.Log.Error().Str("event", "record-invalid").Str("key", string(entry.Key)).Err(err).Send()
 		}
 	}
+	registry.mutex.Lock()
+	registry.formers = formers
+	registry.mutex.Unlock()
 	registry.Listed(registry.take(members, tenures))
 	return nil
 }
@@ -82,6 +89,7 @@
 	entry balsamproxy.StoreEntry,
 	members map[balsamproxy.HostID]balsamproxy.Member,
 	tenures map[allowance.Group]tenure,
+	formers map[allowance.Group]homes.Former,
 ) error {
 	switch {
 	case strings.HasPrefix(string(entry.Key), string(registry.hostsPrefix())):
@@ -94,7 +102,7 @@
 		}
 		members[member.Host] = member
 	case strings.HasPrefix(string(entry.Key), string(registry.homesPrefix())):
-		group, err := strconv.Atoi(strings.TrimPrefix(string(entry.Key), string(registry.homesPrefix())))
+		group, err := groupOf(entry.Key, registry.homesPrefix())
 		if err != nil {
 			return err
 		}
@@ -102,11 +110,26 @@
 		if err := json.Unmarshal(entry.Value, &found.Tenure); err != nil {
 			return err
 		}
-		tenures[allowance.Group(group)] = found
+		tenures[group] = found
+	case strings.HasPrefix(string(entry.Key), string(registry.floorsPrefix())):
+		group, err := groupOf(entry.Key, registry.floorsPrefix())
+		if err != nil {
+			return err
+		}
+		var record floorsRecord
+		if err := json.Unmarshal(entry.Value, &record); err != nil {
+			return err
+		}
+		formers[group] = record.Former
 	}
 	return nil
 }
 
+func groupOf(key, prefix balsamproxy.StoreKey) (allowance.Group, error) {
+	group, err := strconv.Atoi(strings.TrimPrefix(string(key), string(prefix)))
+	return allowance.Group(group), err
+}
+
 // take keeps what was read. A host that is missing for the first time is
 // kept: its record may have lapsed while the store was away.
 func (registry *Registry) take(members map[balsamproxy.HostID]balsamproxy.Member, tenures map[allowance.Group]tenure) []balsamproxy.Member {
@@ -165,6 +188,7 @@
 // should take a tenure as soon as it is free.
 func (registry *Registry) urgent() bool {
 	present := registry.Present()
+	now := registry.Clock.Boot()
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	if registry.leaving || !registry.listed {
@@ -175,7 +199,11 @@
 			continue
 		}
 		found, stands := registry.tenures[group]
-		if stands && homes.Successor(group, registry.Host, found.Host, present) {
+		suspectedAt, suspected := registry.suspected[group]
+		suspected = suspected && now.Sub(suspectedAt) < suspectTime
+		follows := registry.formers[group].Backup == registry.Host ||
+			homes.Successor(group, registry.Host, found.Host, present)
+		if stands && follows && (suspected || !slices.Contains(present, found.Host)) {
 			return true
 		}
 	}
@@ -215,10 +243,17 @@
 	if _, holds := registry.held[group]; holds || registry.leaving || !registry.listed {
 		return balsamproxy.StoreSwap{}, false
 	}
+	now := registry.Clock.Boot()
 	candidate := homes.Candidate{
-		Host:    registry.Host,
-		Present: present,
-		Free:    registry.Clock.Boot().Sub(registry.freeSince[group]),
+		Host:     registry.Host,
+		Present:  present,
+		Running:  now.Sub(registry.startedAt),
+		Former:   registry.formers[group],
+		Free:     now.Sub(registry.freeSince[group]),
+		Promised: now < registry.promised[group],
+	}
+	if registry.ended[group] == candidate.Former.Incarnation {
+		candidate.Former.Closed = true
 	}
 	found, stands := registry.tenures[group]
 	if _, known := registry.freeSince[group]; !stands && !known {
@@ -257,12 +292,20 @@
 	defer registry.mutex.Unlock()
 	for group, found := range registry.tenures {
 		if found.Host == status.Host && !slices.Contains(status.Homes, int(group)) {
+			if status.Stopping && found.Incarnation == status.Incarnation {
+				registry.endedLocked(group, found.Tenure)
+			}
 			delete(registry.tenures, group)
 			registry.freeLocked(group, registry.Clock.Boot())
 		}
 	}
-	for _, home := range status.Homes {
+	for index, home := range status.Homes {
 		group := allowance.Group(home)
+		former := homes.Former{Host: status.Host, Incarnation: status.Incarnation}
+		if index < len(status.Backups) {
+			former.Backup = status.Backups[index]
+		}
+		registry.setFormerLocked(group, former)
 		if registry.tenures == nil {
 			registry.tenures = map[allowance.Group]tenure{}
 		}
@@ -271,13 +314,23 @@
 	}
 }
 
+// endedLocked notes that a home said that it holds a tenure no more, and cannot
+// take it again soon.
+func (registry *Registry) endedLocked(group allowance.Group, tenure homes.Tenure) {
+	if registry.ended == nil {
+		registry.ended = map[allowance.Group]string{}
+	}
+	registry.ended[group] = tenure.Incarnation
+	registry.setFormerLocked(group, homes.Former{Host: tenure.Host, Incarnation: tenure.Incarnation, Closed: true})
+}
+
 // Holds says whether this daemon is home of a group at an instant, and since
 // when.
 func (registry *Registry) Holds(group allowance.Group, now balsamproxy.BootTime) (balsamproxy.BootTime, bool) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	since, holds := registry.held[group]
-	if !holds || now.Sub(registry.renewedAt) >= leaseTime-leaseMargin {
+	if !holds || !registry.leaseHoldsLocked(now) && !registry.promiseHoldsLocked(group, now) {
 		return 0, false
 	}
 	return since, true
@@ -304,6 +357,19 @@
 	return found.Host, stands
 }
 
+// Backups returns the hosts that may follow this daemon, in the order of Held.
+func (registry *Registry) Backups() []balsamproxy.HostID {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	backups := []balsamproxy.HostID{}
+	for group := range allowance.Group(allowance.Groups) {
+		if _, holds := registry.held[group]; holds {
+			backups = append(backups, registry.terms[group].backup)
+		}
+	}
+	return backups
+}
+
 // Member returns the record of a host.
 func (registry *Registry) Member(host balsamproxy.HostID) (balsamproxy.Member, bool) {
 	registry.mutex.Lock()
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -24,15 +24,24 @@
 	hostLeaseTime = 20 * time.Second
 	// hostRenewInterval leaves two tries before that lease ends.
 	hostRenewInterval = 6 * time.Second
-	// leaseTime is the time to live of tenures. A store that is away must not
-	// end them before the evidence of the configuration ends, which is good
-	// for 3.5 s of the usual bound of withdrawals and some hundred
-	// milliseconds old; a home that is gone for good is replaced after it.
-	leaseTime = 3300 * time.Millisecond
+	// leaseTime is the time to live of tenures: a home that is gone is
+	// followed after it. Over an outage of the store a home goes on by
+	// promises of its backup.
+	leaseTime = 1500 * time.Millisecond
 	// leaseMargin is how much earlier a daemon takes its own lease for ended.
 	leaseMargin = 250 * time.Millisecond
-	// renewInterval leaves two tries before a lease ends.
-	renewInterval = 900 * time.Millisecond
+	// renewInterval leaves one more try before a lease ends, and renewTimeout
+	// bounds a try; a slow store answers in about 250 ms.
+	renewInterval = 450 * time.Millisecond
+	renewTimeout  = 400 * time.Millisecond
+	// renewPause is the least time between two tries.
+	renewPause = 250 * time.Millisecond
+	// promiseInterval is the time between two questions to a backup.
+	promiseInterval = 300 * time.Millisecond
+	promiseTimeout  = 250 * time.Millisecond
+	// suspectTime is how long the records are read often after a home did not
+	// answer.
+	suspectTime = 2 * time.Second
 	// listInterval is the time between two reads of all records. Links tell
 	// sooner what has changed.
 	listInterval = 8 * time.Second
@@ -48,8 +57,9 @@
 	failedInterval = 2 * time.Second
 	stepInterval   = 100 * time.Millisecond
 	// stepMax bounds the wait after calls that failed: a store that is back
-	// finds the records again within two seconds.
-	stepMax = 1500 * time.Millisecond
+	// finds the records again within two seconds, and homes take their
+	// tenures back before their callers give up.
+	stepMax = 700 * time.Millisecond
 	// missedMax is how many lists in a row a host may be missing from before
 	// it is taken for gone.
 	missedMax = 2
@@ -84,7 +94,9 @@
 	HomesChanged func()
 	// Close ends the lending of a term and returns what is left of it.
 	Close func(term allowance.Term) allowance.Floors
-	Log   zerolog.Logger
+	// AskPromise asks a host to leave the tenure of a group alone for a while.
+	AskPromise func(ctx context.Context, host balsamproxy.HostID, group allowance.Group) bool
+	Log        zerolog.Logger
 
 	mutex sync.Mutex
 	// hostLease holds the record of the host, and lease the tenures.
@@ -92,12 +104,27 @@
 	hostRenewedAt balsamproxy.BootTime
 	lease         balsamproxy.LeaseID
 	renewedAt     balsamproxy.BootTime
-	published     balsamproxy.Revision
-	held          map[allowance.Group]balsamproxy.BootTime
-	leaving       bool
+	// triedAt is when the tenures' lease was last tried to be renewed.
+	triedAt   balsamproxy.BootTime
+	published balsamproxy.Revision
+	held      map[allowance.Group]balsamproxy.BootTime
+	leaving   bool
 	// terms are the terms that this daemon began, as long as no other daemon
 	// is known to have begun a later one.
 	terms map[allowance.Group]term
+	// formers are the last homes as the store showed them, and ended those
+	// incarnations that said that they hold a tenure no more.
+	formers map[allowance.Group]homes.Former
+	ended   map[allowance.Group]string
+	// promised is until when this daemon leaves tenures alone, and taking the
+	// group whose tenure it is taking.
+	promised map[allowance.Group]balsamproxy.BootTime
+	taking   map[allowance.Group]bool
+	// suspected is when homes did not answer.
+	suspected map[allowance.Group]balsamproxy.BootTime
+	// listedAt is when the records were last asked for.
+	listedAt  balsamproxy.BootTime
+	startedAt balsamproxy.BootTime
 	// tenures are the tenures that the store showed last.
 	tenures   map[allowance.Group]tenure
 	members   map[balsamproxy.HostID]balsamproxy.Member
@@ -127,8 +154,10 @@
 	return registry.Prefix + "targets/" + balsamproxy.StoreKey(registry.Host)
 }
 
+func (registry *Registry) floorsPrefix() balsamproxy.StoreKey { return registry.Prefix + "floors/" }
+
 func (registry *Registry) floorsKey(group allowance.Group) balsamproxy.StoreKey {
-	return registry.Prefix + "floors/" + balsamproxy.StoreKey(strconv.Itoa(int(group)))
+	return registry.floorsPrefix() + balsamproxy.StoreKey(strconv.Itoa(int(group)))
 }
 
 func (registry *Registry) homeKey(group allowance.Group) balsamproxy.StoreKey {
@@ -137,6 +166,9 @@
 
 // Run keeps the records until ctx ends.
 func (registry *Registry) Run(ctx context.Context) error {
+	registry.mutex.Lock()
+	registry.startedAt = registry.Clock.Boot()
+	registry.mutex.Unlock()
 	wait := stepInterval
 	for {
 		if registry.step(ctx) == nil {
@@ -155,18 +187,27 @@
 }
 
 func (registry *Registry) step(ctx context.Context) error {
-	registry.dropLapsed()
-	err := registry.keepLeases(ctx)
+	err := registry.keepHostLease(ctx)
 	if err == nil {
 		err = registry.publish(ctx)
 	}
 	if err == nil {
 		err = registry.takeTenures(ctx)
 	}
-	registry.note(err)
+	if err != nil || !registry.holds() {
+		registry.note(err)
+	}
 	return err
 }
 
+// holds says whether this daemon holds a tenure: then its renewals tell whether
+// the store is reached.
+func (registry *Registry) holds() bool {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	return len(registry.held) > 0
+}
+
 // note logs when the store is lost or regained.
 func (registry *Registry) note(err error) {
 	reached := err == nil
--- a/io/registry/terms.go
+++ b/io/registry/terms.go
@@ -21,6 +21,11 @@
 	revision balsamproxy.Revision
 	// tenure is the revision of the tenure's own record.
 	tenure balsamproxy.Revision
+	// backup is the host that may follow first. It was asked for a promise at
+	// askedAt, and the last one that it gave holds until promisedUntil.
+	backup        balsamproxy.HostID
+	askedAt       balsamproxy.BootTime
+	promisedUntil balsamproxy.BootTime
 }
 
 // is says whether a term is the one that was asked for.
@@ -30,9 +35,8 @@
 // outlives the tenure, and each tenure begins with writing it: so what stands
 // in it binds the home that wrote it until another one has replaced it.
 type floorsRecord struct {
-	Host        balsamproxy.HostID `json:"host"`
-	Incarnation string             `json:"incarnation"`
-	Floors      allowance.Floors   `json:"floors"`
+	homes.Former
+	Floors allowance.Floors `json:"floors"`
 }
 
 // handOverMax is how many tenures are ended in one transaction: each takes two
@@ -57,27 +61,39 @@
 	return record, entry.Revision, nil
 }
 
-func (registry *Registry) floorsSwap(group allowance.Group, floors allowance.Floors, expected balsamproxy.Revision) (balsamproxy.StoreSwap, error) {
-	value, err := json.Marshal(floorsRecord{Host: registry.Host, Incarnation: registry.Incarnation, Floors: floors})
+// floorsSwap writes the record of a group for this daemon.
+func (registry *Registry) floorsSwap(group allowance.Group, record floorsRecord, expected balsamproxy.Revision) (balsamproxy.StoreSwap, error) {
+	record.Host, record.Incarnation = registry.Host, registry.Incarnation
+	value, err := json.Marshal(record)
 	return balsamproxy.StoreSwap{Key: registry.floorsKey(group), Value: value, Expected: expected}, err
 }
 
 // takeTenure begins a tenure, or goes on with the one that this daemon had if
-// no other daemon had it since.
+// no other daemon had it since. It does nothing if the last home may still be
+// at work.
 func (registry *Registry) takeTenure(ctx context.Context, group allowance.Group, swap balsamproxy.StoreSwap) error {
+	if !registry.startTaking(group) {
+		return nil
+	}
+	defer registry.endTaking(group)
 	record, standing, err := registry.readFloors(ctx, group)
 	if err != nil {
 		return err
 	}
+	registry.setFormer(group, record.Former)
+	if _, due := registry.dueSwap(group, registry.Present()); !due {
+		return nil
+	}
 	registry.mutex.Lock()
 	began, continues := registry.terms[group]
 	registry.mutex.Unlock()
 	continues = continues && began.revision == standing
-	floors := allowance.Floors{}
+	next := floorsRecord{Floors: allowance.Floors{}}
+	next.Backup = homes.Backup(group, registry.Host, registry.Present())
 	if continues {
-		floors = record.Floors
+		next.Floors = record.Floors
 	}
-	written, err := registry.floorsSwap(group, floors, standing)
+	written, err := registry.floorsSwap(group, next, standing)
 	if err != nil {
 		return err
 	}
@@ -88,11 +104,46 @@
 	if !continues {
 		began = term{since: registry.Clock.Boot(), left: record.Floors}
 	}
-	began.floors, began.revision, began.tenure = floors, revision, revision
+	began.floors, began.revision, began.tenure, began.backup = next.Floors, revision, revision, next.Backup
+	began.promisedUntil = 0
 	registry.hold(group, began)
 	return nil
 }
 
+// startTaking keeps this daemon from promising to leave a tenure alone while
+// it takes it; it says false if such a promise still holds.
+func (registry *Registry) startTaking(group allowance.Group) bool {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	if registry.Clock.Boot() < registry.promised[group] {
+		return false
+	}
+	if registry.taking == nil {
+		registry.taking = map[allowance.Group]bool{}
+	}
+	registry.taking[group] = true
+	return true
+}
+
+func (registry *Registry) endTaking(group allowance.Group) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	delete(registry.taking, group)
+}
+
+func (registry *Registry) setFormer(group allowance.Group, former homes.Former) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	registry.setFormerLocked(group, former)
+}
+
+func (registry *Registry) setFormerLocked(group allowance.Group, former homes.Former) {
+	if registry.formers == nil {
+		registry.formers = map[allowance.Group]homes.Former{}
+	}
+	registry.formers[group] = former
+}
+
 func (registry *Registry) hold(group allowance.Group, began term) {
 	registry.mutex.Lock()
 	if registry.leaving {
@@ -159,7 +210,9 @@
 		}
 		return registry.WriteFloors(ctx, asked, floors)
 	}
-	swap, err := registry.floorsSwap(asked.Group, floors, began.revision)
+	record := floorsRecord{Floors: floors}
+	record.Backup = began.backup
+	swap, err := registry.floorsSwap(asked.Group, record, began.revision)
 	if err != nil {
 		return err
 	}
@@ -219,8 +272,9 @@
 			began := registry.terms[group]
 			delete(registry.terms, group)
 			registry.mutex.Unlock()
-			left := registry.Close(allowance.Term{Group: group, Since: began.since.Time()})
-			swap, err := registry.floorsSwap(group, left, began.revision)
+			record := floorsRecord{Floors: registry.Close(allowance.Term{Group: group, Since: began.since.Time()})}
+			record.Closed = true
+			swap, err := registry.floorsSwap(group, record, began.revision)
 			if err != nil {
 				return err
 			}
--- a/io/registry/terms_test.go
+++ b/io/registry/terms_test.go
@@ -107,14 +107,18 @@
 	return home{clock: clock, Registry: &Registry{
 		Store: store, Host: host, Incarnation: incarnation, Clock: clock, Log: zerolog.Nop(),
 		HomesChanged: func() {},
+		Present:      func() []balsamproxy.HostID { return []balsamproxy.HostID{"a", "b", "c"} },
+		AskPromise:   func(context.Context, balsamproxy.HostID, allowance.Group) bool { return false },
+		listed:       true,
 		Close:        func(allowance.Term) allowance.Floors { return allowance.Floors{"closed": 7} },
 	}}
 }
 
-// take lets a home take the tenure, whose former record has ended.
+// take lets a home take the tenure, whose former record ended long ago.
 func (home home) take(t *testing.T) allowance.Term {
 	t.Helper()
-	home.clock.now += balsamproxy.BootTime(time.Second)
+	home.clock.now += balsamproxy.BootTime(10 * time.Second)
+	home.freeSince = map[allowance.Group]balsamproxy.BootTime{group: 0}
 	swap := balsamproxy.StoreSwap{Key: home.homeKey(group), Value: []byte("{}"), Lease: 1}
 	assert.NilError(t, home.takeTenure(t.Context(), group, swap))
 	return home.Terms()[0]
@@ -212,3 +216,62 @@
 	}
 	assert.Equal(t, len(old.Terms()), 0)
 }
+
+// TestPromises lets a home go on over an outage of the store by promises of its
+// backup, and checks that nobody else begins while it may be at work.
+func TestPromises(t *testing.T) {
+	store := newFakeStore()
+	holder := newHome(store, "a", "a1")
+	term := holder.take(t)
+	holder.renewedAt = holder.clock.now
+	backupHost := holder.terms[group].backup
+	backup := newHome(store, backupHost, "x1")
+	backup.clock.now, backup.startedAt = holder.clock.now, 0
+	holder.AskPromise = func(_ context.Context, host balsamproxy.HostID, asked allowance.Group) bool {
+		return host == backupHost && backup.Promise(asked)
+	}
+	pass := func(step time.Duration) {
+		holder.clock.now += balsamproxy.BootTime(step)
+		backup.clock.now = holder.clock.now
+	}
+	holds := func() bool {
+		_, held := holder.Holds(group, holder.clock.now)
+		return held
+	}
+	began := holder.clock.now
+	swap := balsamproxy.StoreSwap{Key: holder.homeKey(group), Value: []byte("{}"), Lease: 2}
+	for range 20 {
+		pass(200 * time.Millisecond)
+		holder.askPromises(t.Context())
+		holder.dropLapsed()
+		if holder.clock.now.Sub(began) >= leaseTime {
+			// The store's record ends with its lease.
+			delete(store.entries, holder.homeKey(group))
+			backup.freeSince = map[allowance.Group]balsamproxy.BootTime{group: began + balsamproxy.BootTime(leaseTime)}
+			assert.NilError(t, backup.takeTenure(t.Context(), group, swap))
+		}
+		assert.Assert(t, !holds() || len(backup.Terms()) == 0, "two homes at work")
+		assert.Assert(t, holds(), "the home stopped though its backup had promised")
+	}
+	// Others may follow now, whatever the backup promises.
+	for range 15 {
+		pass(200 * time.Millisecond)
+		holder.askPromises(t.Context())
+		holder.dropLapsed()
+		assert.NilError(t, backup.takeTenure(t.Context(), group, swap))
+		assert.Assert(t, !holds() || len(backup.Terms()) == 0, "two homes at work")
+	}
+	assert.Assert(t, !holds())
+	assert.Equal(t, len(backup.Terms()), 1, "nobody followed")
+	assert.Equal(t, holder.Left(term, "planner"), 0)
+}
+
+// TestNoPromiseWhileTaking asks a backup that is taking the tenure itself.
+func TestNoPromiseWhileTaking(t *testing.T) {
+	backup := newHome(newFakeStore(), "b", "b1")
+	assert.Assert(t, backup.startTaking(group))
+	assert.Assert(t, !backup.Promise(group))
+	backup.endTaking(group)
+	assert.Assert(t, backup.Promise(group))
+	assert.Assert(t, !backup.startTaking(group))
+}
--- a/member.go
+++ b/member.go
@@ -67,8 +67,10 @@
 	Targets  []Target `cbor:"6,keyasint"`
 	// Config is the version of the configuration in force.
 	Config Revision `cbor:"7,keyasint"`
-	// Homes are the groups of client accounts that the daemon is home of.
-	Homes []int `cbor:"8,keyasint"`
+	// Homes are the groups of client accounts that the daemon is home of, and
+	// Backups the hosts that may follow it, in the same order.
+	Homes   []int    `cbor:"8,keyasint"`
+	Backups []HostID `cbor:"11,keyasint,omitempty"`
 	// Crashes are requests that were under way when a target crashed.
 	Crashes []Crash `cbor:"9,keyasint,omitempty"`
 }
