--- a/io/lending/floors.go
+++ b/io/lending/floors.go
@@ -13,6 +13,8 @@
 	// account at several times its rate uses less than what lies between the
 	// level at which a floor is dropped and the floor.
 	floorsInterval = 40 * time.Millisecond
+	// floorsIdle is that time while this daemon is home of no account.
+	floorsIdle = 250 * time.Millisecond
 	// raisePause is the least time between two writes for one group that drop
 	// no floor, so that an account near its rate costs few calls.
 	raisePause = 3 * time.Second
@@ -37,10 +39,16 @@
 		written:   map[allowance.Group]time.Time{},
 		unwritten: map[allowance.Group]bool{},
 	}
-	for task.Sleep(ctx, floorsInterval) {
-		for _, term := range spender.Homes.Terms() {
+	pause := floorsIdle
+	for task.Sleep(ctx, pause) {
+		terms := spender.Homes.Terms()
+		for _, term := range terms {
 			keeper.step(ctx, term)
 		}
+		pause = floorsInterval
+		if len(terms) == 0 {
+			pause = floorsIdle
+		}
 	}
 	return ctx.Err()
 }
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -40,7 +40,9 @@
 )
 
 const (
-	metricsInterval = time.Second
+	// metricsInterval is the time between two updates of the metrics; they
+	// are usually fetched less often.
+	metricsInterval = 5 * time.Second
 	// freshTime is how long after its first start a fleet may lend whole
 	// bursts.
 	freshTime = 6 * time.Second
--- a/io/mesh/documents.go
+++ b/io/mesh/documents.go
@@ -27,6 +27,8 @@
 	fetchTimeout = time.Second
 
 	kindDocument peer.Kind = "configuration"
+	// sourceStore is logged as the source of what was read from the store.
+	sourceStore = "store"
 )
 
 // Decode turns a stored document into a configuration with its version.
@@ -120,7 +122,7 @@
 
 func (documents *documents) offer(entry balsamproxy.StoreEntry) {
 	if entry.Key == documents.key {
-		documents.take(entry.Value, "store")
+		documents.take(entry.Value, sourceStore)
 	}
 }
 
@@ -134,6 +136,7 @@
 		return
 	}
 	documents.mutex.Lock()
+	first := documents.current.Index() == nil
 	taken := documents.current.Offer(config.NewIndex(document, version))
 	if taken {
 		documents.raw = raw
@@ -144,7 +147,11 @@
 	}
 	documents.log.Info().Str("event", "configuration-in-force").Str("source", source).Int64("version", int64(version)).
 		Int("routes", len(document.Routes)).Int("accounts", len(document.ClientAccounts)).Send()
-	documents.changed()
+	if first || source == sourceStore {
+		// Peers that read the store tell all others of later versions; what
+		// came from one of them is told with the next change.
+		documents.changed()
+	}
 }
 
 func (documents *documents) version() balsamproxy.Revision {
--- a/io/registry/leases.go
+++ b/io/registry/leases.go
@@ -12,7 +12,13 @@
 
 // RunLeases keeps the tenures until ctx ends.
 func (registry *Registry) RunLeases(ctx context.Context) error {
-	for task.Sleep(ctx, stepInterval) {
+	pause := stepIdle
+	for task.Sleep(ctx, pause) {
+		if !registry.holds() {
+			pause = stepIdle
+			continue
+		}
+		pause = stepInterval
 		registry.renewTenures(ctx)
 		registry.askPromises(ctx)
 		registry.dropLapsed()
--- a/io/registry/list.go
+++ b/io/registry/list.go
@@ -212,8 +212,9 @@
 
 // takeTenures takes the tenures whose turn it is to be taken by this daemon.
 func (registry *Registry) takeTenures(ctx context.Context) error {
+	present := registry.Present()
 	for group := range allowance.Group(allowance.Groups) {
-		swap, due := registry.dueSwap(group, registry.Present())
+		swap, due := registry.dueSwap(group, present)
 		if !due {
 			continue
 		}
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -56,6 +56,9 @@
 	// failedInterval is the wait after a read that failed.
 	failedInterval = 2 * time.Second
 	stepInterval   = 100 * time.Millisecond
+	// stepIdle is that time for the leases of a daemon without tenures; it is
+	// shorter than what a renewal leaves.
+	stepIdle = 250 * time.Millisecond
 	// stepMax bounds the wait after calls that failed: a store that is back
 	// finds the records again within two seconds, and homes take their
 	// tenures back before their callers give up.
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -12,6 +12,7 @@
 	"balsamproxy"
 	"balsamproxy/core/announced"
 	"balsamproxy/core/door"
+	"balsamproxy/task"
 )
 
 const (
@@ -22,8 +23,10 @@
 	// silenceMax is how long a target may be silent before it is forgotten.
 	// Announcements come every second or two and may be seconds late.
 	silenceMax = 15 * time.Second
-	// expireInterval is how often waiting calls are looked through.
+	// expireInterval is how often waiting calls are looked through, and
+	// idleInterval how often the rest is while none waits.
 	expireInterval = 20 * time.Millisecond
+	idleInterval   = 250 * time.Millisecond
 	// coldSlotsPart is the part of the slots that a cold target is given.
 	coldSlotsPart = 0.5
 )
@@ -47,6 +50,8 @@
 	tickets     door.Ticket
 	blame       door.Blame
 	connections connections
+	wakeOnce    sync.Once
+	wake        chan struct{}
 }
 
 var _ balsamproxy.Carrier = (*Local)(nil)
@@ -55,6 +60,8 @@
 type openDoor struct {
 	door    door.Door
 	waiting map[door.Ticket]chan door.Verdict
+	// cold says that the door has the slots of a cold target.
+	cold bool
 }
 
 // Announce takes what a target says of itself.
@@ -115,7 +122,8 @@
 	}
 	slots := state.Target.Slots
 	slots -= int(float64(slots) * slotsKeptPart)
-	if now.Before(state.ColdUntil) {
+	held.cold = now.Before(state.ColdUntil)
+	if held.cold {
 		slots = int(float64(slots) * coldSlotsPart)
 	}
 	held.tell(held.door.SetSlots(max(slots, 1), now))
@@ -132,32 +140,46 @@
 
 // Run keeps the targets and their doors current until ctx ends.
 func (local *Local) Run(ctx context.Context) error {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			local.expire(local.Clock.Now())
+	pause := idleInterval
+	for task.SleepUntil(ctx, pause, local.wakes()) {
+		pause = idleInterval
+		if local.expire(local.Clock.Now()) {
+			pause = expireInterval
 		}
 	}
+	return ctx.Err()
 }
 
-func (local *Local) expire(now time.Time) {
+// wakes returns the channel on which a first waiting call is told.
+func (local *Local) wakes() chan struct{} {
+	local.wakeOnce.Do(func() { local.wake = make(chan struct{}, 1) })
+	return local.wake
+}
+
+func (local *Local) wakeUp() {
+	select {
+	case local.wakes() <- struct{}{}:
+	default:
+	}
+}
+
+// expire ends what time has ended, and says whether calls wait.
+func (local *Local) expire(now time.Time) bool {
 	local.connections.expire(now)
 	local.mutex.Lock()
 	gone := local.table.Expire(silenceMax, now)
+	waits := false
 	for id, held := range local.doors {
+		if len(held.waiting) > 0 {
+			held.tell(held.door.Expire(now))
+		}
+		waits = waits || len(held.waiting) > 0
 		state, known := local.table.State(id)
 		if !known && len(held.waiting) == 0 {
 			delete(local.doors, id)
 			continue
 		}
-		if len(held.waiting) > 0 {
-			held.tell(held.door.Expire(now))
-		}
-		if !state.ColdUntil.IsZero() && now.After(state.ColdUntil) && now.Sub(state.ColdUntil) < 2*expireInterval {
+		if held.cold && !now.Before(state.ColdUntil) {
 			local.openLocked(id, now)
 		}
 	}
@@ -165,6 +187,7 @@
 	if gone {
 		local.Changed()
 	}
+	return waits
 }
 
 // Targets returns the targets of this host that peers may send calls to.
--- a/io/target/visit.go
+++ b/io/target/visit.go
@@ -71,6 +71,7 @@
 	load := held.door.Load(head.Route)
 	local.mutex.Unlock()
 	if waiting != nil {
+		local.wakeUp()
 		verdict = visit.wait(ctx, waiting)
 	}
 	return visit.refusalOf(verdict, load)
--- a/task/sleep.go
+++ b/task/sleep.go
@@ -16,3 +16,18 @@
 		return false
 	}
 }
+
+// SleepUntil waits for a time or until something comes over wake. It says false
+// if ctx ended first.
+func SleepUntil(ctx context.Context, pause time.Duration, wake <-chan struct{}) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-wake:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
