Tell refused callers to come back one after another

A home now counts those that it refused, and daemons those that they refused without asking it; each one is told when there will be a token behind the ones before it, but no later than half of its objective.

--- a/core/allowance/floor_test.go
+++ b/core/allowance/floor_test.go
@@ -154,3 +154,26 @@
 		})
 	}
 }
+
+// TestRefusedCallersAreSpread plays a surge of 30 requests at once on an account
+// with 10 tokens a second: those that are refused are told to come back one
+// after another, when there will be tokens for them.
+func TestRefusedCallersAreSpread(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	share := allowance.ShareOf(10, 10, 0, 1)
+	var lender allowance.Lender
+	lender.Open(account, share, allowance.Left{Whole: true}, now)
+	var waits []time.Duration
+	for range 30 {
+		if !lender.Spend(account, share, now) {
+			waits = append(waits, lender.Wait(account))
+		}
+	}
+	assert.Equal(t, len(waits), 20)
+	assert.Equal(t, waits[0], 100*time.Millisecond)
+	assert.Equal(t, waits[19], 2*time.Second)
+	// What is told later counts the tokens that have come meanwhile.
+	assert.Assert(t, !lender.Spend(account, share, now))
+	assert.Assert(t, lender.Spend(account, share, now.Add(time.Second)))
+	assert.Equal(t, lender.Wait(account) < 1200*time.Millisecond, true)
+}
--- a/core/allowance/lender.go
+++ b/core/allowance/lender.go
@@ -8,6 +8,10 @@
 	"balsamproxy/core/shard"
 )
 
+// waitMax bounds the time after which a refused request is told to come back:
+// callers that wait for longer are rare.
+const waitMax = 4 * time.Second
+
 // Borrower names one run of a borrowing daemon.
 type Borrower struct {
 	Host        balsamproxy.HostID `cbor:"1,keyasint"`
@@ -25,6 +29,8 @@
 	// Done is the number of tokens of all former loans of this account and
 	// home that were spent or dropped.
 	Done uint64 `cbor:"5,keyasint"`
+	// Refused is the number of requests that were refused without asking.
+	Refused int `cbor:"6,keyasint,omitempty"`
 }
 
 // LoanAnswer is a home's answer.
@@ -54,6 +60,9 @@
 	formerUntil time.Time
 	// floor is what is left to the next home, in billionths of a token.
 	floor uint64
+	// debt is what refused requests will ask for when they come back, in
+	// billionths of a token.
+	debt uint64
 	// closed says that another home follows: nothing is lent any more.
 	closed  bool
 	at      time.Time
@@ -123,8 +132,10 @@
 	defer bucket.mutex.Unlock()
 	bucket.advance(share, now)
 	bucket.settle(request.Borrower, request.Done)
+	bucket.refuse(request.Refused)
 	granted := bucket.grant(request.Need, request.Ahead)
 	if granted == 0 {
+		bucket.refuse(request.Need)
 		return LoanAnswer{Wait: bucket.wait()}
 	}
 	bucket.level -= granted * nanosPerToken
@@ -144,6 +155,7 @@
 	defer bucket.mutex.Unlock()
 	bucket.advance(share, now)
 	if bucket.free() < nanosPerToken {
+		bucket.refuse(1)
 		return false
 	}
 	bucket.level -= nanosPerToken
@@ -178,7 +190,9 @@
 		bucket.formerLent = 0
 	}
 	if now.After(bucket.at) {
-		bucket.level += refill(bucket.share.rate, now.Sub(bucket.at))
+		refilled := refill(bucket.share.rate, now.Sub(bucket.at))
+		bucket.level += refilled
+		bucket.debt -= min(bucket.debt, refilled)
 		bucket.at = now
 	}
 	bucket.level = min(bucket.level, bucket.room())
@@ -231,10 +245,17 @@
 	return now + soon
 }
 
+// refuse notes requests that were refused and will come back.
+func (bucket *bucket) refuse(requests int) {
+	bucket.debt = min(bucket.debt+uint64(max(requests, 0))*nanosPerToken, bucket.share.rate*uint64(waitMax/time.Second))
+}
+
+// wait returns when the last request that was refused may find a token, if all
+// that were refused before it come back first.
 func (bucket *bucket) wait() time.Duration {
 	if bucket.share.rate == 0 {
 		return Release
 	}
-	missing := nanosPerToken - min(bucket.free(), nanosPerToken)
+	missing := max(bucket.debt, nanosPerToken) - min(bucket.free(), nanosPerToken)
 	return time.Duration(float64(missing) / float64(bucket.share.rate) * float64(time.Second))
 }
--- a/core/allowance/purse.go
+++ b/core/allowance/purse.go
@@ -32,6 +32,10 @@
 	demand     float64
 	demandAt   time.Time
 	emptyUntil time.Time
+	// wait is when a home expected to have a token, and refused counts the
+	// requests that were refused since without asking it.
+	wait    time.Duration
+	refused int
 }
 
 // credit is what is borrowed from one home.
@@ -106,12 +110,15 @@
 	credit := purse.credit(home)
 	credit.drop(now)
 	credit.told = credit.done
+	refused := purse.refused
+	purse.refused = 0
 	return LoanRequest{
 		Account:  account,
 		Borrower: holder.Borrower,
 		Need:     need,
 		Ahead:    purse.ahead(),
 		Done:     credit.done,
+		Refused:  refused,
 	}
 }
 
@@ -152,14 +159,20 @@
 	purse.mutex.Lock()
 	defer purse.mutex.Unlock()
 	purse.emptyUntil = now.Add(min(wait, emptyMax))
+	purse.wait = wait
 }
 
-// IsEmpty returns how long no home is expected to have a token.
-func (holder *Purse) IsEmpty(account balsamproxy.ClientAccountID, now time.Time) time.Duration {
+// Refuse says whether a request should be refused without asking, since no home
+// is expected to have a token, and when it should come back.
+func (holder *Purse) Refuse(account balsamproxy.ClientAccountID, now time.Time) (time.Duration, bool) {
 	purse := holder.purse(account)
 	purse.mutex.Lock()
 	defer purse.mutex.Unlock()
-	return max(0, purse.emptyUntil.Sub(now))
+	if !now.Before(purse.emptyUntil) {
+		return 0, false
+	}
+	purse.refused++
+	return max(purse.wait, purse.emptyUntil.Sub(now)), true
 }
 
 // Report is something that a home should be told.
--- a/core/allowance/sim_test.go
+++ b/core/allowance/sim_test.go
@@ -166,7 +166,7 @@
 		simulation.admit()
 		return
 	}
-	if host.purse.IsEmpty(account, simulation.Now) > 0 {
+	if _, empty := host.purse.Refuse(account, simulation.Now); empty {
 		simulation.refusals++
 		return
 	}
--- a/io/allowance/spender.go
+++ b/io/allowance/spender.go
@@ -113,7 +113,7 @@
 	if spender.Purse.Spend(account, now) {
 		return nil
 	}
-	if wait := spender.Purse.IsEmpty(account, now); wait > 0 {
+	if wait, empty := spender.Purse.Refuse(account, now); empty {
 		return exceeded(wait)
 	}
 	return spender.borrow(ctx, account)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -219,7 +219,13 @@
 	if visit.account == "" {
 		return nil
 	}
-	return visit.entry.Allowance.Spend(ctx, visit.account)
+	refusal := visit.entry.Allowance.Spend(ctx, visit.account)
+	if refusal != nil && visit.objective() > 0 {
+		// A caller that comes back later than this is answered too late to be
+		// worth much.
+		refusal.Retry = min(refusal.Retry, visit.objective()/returnParts)
+	}
+	return refusal
 }
 
 // Times after which a caller should come back.
@@ -229,6 +235,9 @@
 	startRetry = 300 * time.Millisecond
 	// evidenceRetry is about the time that a store takes to answer again.
 	evidenceRetry = 700 * time.Millisecond
+	// returnParts gives the part of the objective after which a caller comes
+	// back at the latest: the rest is left for its answer.
+	returnParts = 2
 )
 
 // deliver returns the target's answer.
--- a/io/lending/spender.go
+++ b/io/lending/spender.go
@@ -92,7 +92,7 @@
 		if spender.Purse.Spend(account, now.Time()) {
 			return nil
 		}
-		if wait := spender.Purse.IsEmpty(account, now.Time()); wait > 0 {
+		if wait, empty := spender.Purse.Refuse(account, now.Time()); empty {
 			return exceeded(wait)
 		}
 		refusal, asked := spender.borrow(ctx, account, group)
