--- a/cmd/balsamproxy-soak/main.go
+++ b/cmd/balsamproxy-soak/main.go
@@ -17,7 +17,7 @@
 	"balsamproxy/platform/soak"
 )
 
-// settings of the command line.
+// arguments are the flags of the command line.
 type arguments struct {
 	Seed    uint64        `long:"seed" default:"1" description:"first seed of the schedule"`
 	Seeds   int           `long:"seeds" default:"1" description:"how many seeds to run, one after another"`
@@ -41,16 +41,23 @@
 		}
 		os.Exit(exitInvalid)
 	}
+	os.Exit(given.main())
+}
+
+// main runs all seeds until a signal ends the soak, and returns the status of
+// the program.
+func (given arguments) main() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	failed, err := given.run(ctx)
-	if err != nil {
+	switch {
+	case err != nil:
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitInvalid)
-	}
-	if failed > 0 {
-		os.Exit(exitFound)
+		return exitInvalid
+	case failed > 0:
+		return exitFound
 	}
+	return 0
 }
 
 // run runs all seeds and returns how many found something.
--- a/core/allowance/floor_test.go
+++ b/core/allowance/floor_test.go
@@ -29,22 +29,29 @@
 }
 
 func (moving *movingHome) spend(own bool) {
-	spent := false
-	switch {
-	case own:
-		spent = moving.lender.Spend(account, moving.share, moving.now)
-	case moving.purse.Spend(account, moving.now):
-		spent = true
-	default:
-		request := moving.purse.Request(account, "home", 1, moving.now)
-		answer := moving.lender.Lend(request, moving.share, moving.now)
-		spent = moving.purse.Take(account, "home", answer, moving.now, moving.now, 1) == 1
-	}
-	if spent {
+	if moving.admits(own) {
 		moving.admissions = append(moving.admissions, moving.now)
 	}
 }
 
+func (moving *movingHome) admits(own bool) bool {
+	if own {
+		return moving.lender.Spend(account, moving.share, moving.now)
+	}
+	if moving.purse.Spend(account, moving.now) {
+		return true
+	}
+	request := moving.purse.Request(account, "home", 1, moving.now)
+	answer := moving.lender.Lend(request, moving.share, moving.now)
+	return moving.purse.Take(account, "home", answer, moving.now, moving.now, 1) == 1
+}
+
+func (moving *movingHome) spendMany(own bool, count int) {
+	for range count {
+		moving.spend(own)
+	}
+}
+
 // offer begins to write the floors that suit the levels.
 func (moving *movingHome) offer() {
 	floors, change := moving.lender.WantedFloors(term(moving.since), moving.now)
@@ -82,6 +89,22 @@
 	moving.purse.Borrower.Incarnation += "+"
 }
 
+// step makes one step of a schedule.
+func (moving *movingHome) step(name string, requests, milliseconds int) {
+	switch name {
+	case "spend", "lend":
+		moving.spendMany(name == "spend", requests)
+	case "pause":
+		moving.now = moving.now.Add(time.Duration(milliseconds) * time.Millisecond)
+	case "offer":
+		moving.offer()
+	case "settle", "unsettled":
+		moving.settle(name == "settle")
+	case "kill", "stop":
+		moving.move(name == "stop")
+	}
+}
+
 // TestMovingHome moves the home of an account at any moment and checks every
 // window of the admissions, while loans of former homes are still spent.
 func TestMovingHome(t *testing.T) {
@@ -92,28 +115,8 @@
 		moving.share = allowance.ShareOf(limits.Rate, limits.Burst, 0, 1)
 		moving.lender.Open(account, moving.share, allowance.Left{Whole: true}, moving.now)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			switch rapid.SampledFrom([]string{"spend", "lend", "pause", "offer", "settle", "unsettled", "kill", "stop"}).Draw(t, "step") {
-			case "spend":
-				for range rapid.IntRange(1, limits.Burst).Draw(t, "spent") {
-					moving.spend(true)
-				}
-			case "lend":
-				for range rapid.IntRange(1, limits.Burst).Draw(t, "lent") {
-					moving.spend(false)
-				}
-			case "pause":
-				moving.now = moving.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "milliseconds")) * time.Millisecond)
-			case "offer":
-				moving.offer()
-			case "settle":
-				moving.settle(true)
-			case "unsettled":
-				moving.settle(false)
-			case "kill":
-				moving.move(false)
-			case "stop":
-				moving.move(true)
-			}
+			step := rapid.SampledFrom([]string{"spend", "lend", "pause", "offer", "settle", "unsettled", "kill", "stop"}).Draw(t, "step")
+			moving.step(step, rapid.IntRange(1, limits.Burst).Draw(t, "requests"), rapid.IntRange(1, 1500).Draw(t, "milliseconds"))
 		}
 		if over := excess(moving.admissions, limits); over > rounding {
 			t.Fatalf("%g requests over rate and burst", over)
--- a/core/homes/ranks.go
+++ b/core/homes/ranks.go
@@ -18,10 +18,10 @@
 	// it to take a tenure that is free.
 	rankDelay = 700 * time.Millisecond
 	// PromiseTime is how long a backup leaves a tenure alone after it has
-	// promised that to the holder, and PromiseHold how long the holder relies
-	// on the promise, counted from before it asked: clocks may run a little
-	// apart.
+	// promised that to the holder.
 	PromiseTime = 1200 * time.Millisecond
+	// PromiseHold is how long the holder relies on the promise, counted from
+	// before it asked; it is less, since clocks may run a little apart.
 	PromiseHold = time.Second
 	// OthersWait is how long daemons other than the backup leave a tenure
 	// alone whose record is gone: so long its holder may go on by promises of
--- a/io/lending/floors.go
+++ b/io/lending/floors.go
@@ -57,8 +57,7 @@
 	spender := keeper.spender
 	now := spender.Clock.Boot().Time()
 	floors, change := spender.lender.WantedFloors(term, now)
-	rested := now.Sub(keeper.written[term.Group]) >= raisePause
-	if change != allowance.Drop && !(rested && (change == allowance.Raise || keeper.unwritten[term.Group])) {
+	if change != allowance.Drop && !keeper.mayRaise(term.Group, change, now) {
 		return
 	}
 	spender.lender.RaiseFloors(term, floors)
@@ -76,6 +75,12 @@
 	spender.lender.SetFloors(term, floors)
 }
 
+// mayRaise says whether floors that drop none should be written now.
+func (keeper *floorsKeeper) mayRaise(group allowance.Group, change allowance.FloorChange, now time.Time) bool {
+	wanted := change == allowance.Raise || keeper.unwritten[group]
+	return wanted && now.Sub(keeper.written[group]) >= raisePause
+}
+
 // Close ends the lending of a term and returns what is left of it.
 func (spender *Spender) Close(term allowance.Term) allowance.Floors {
 	return spender.lender.Close(term, spender.Clock.Boot().Time())
