Count anew how long a tenure is free when another home had it unnoticed

Cause, found by reading: a daemon that had taken a group for free for over three seconds would follow a later holder, which it had not heard of, at once, though that one may go on by promises of its backup. TestFreeIsCountedAnew failed first.

--- a/io/registry/list.go
+++ b/io/registry/list.go
@@ -77,6 +77,11 @@
 		}
 	}
 	registry.mutex.Lock()
+	for group, former := range formers {
+		if _, free := registry.freeSince[group]; free {
+			registry.restartFreeLocked(group, former)
+		}
+	}
 	registry.formers = formers
 	registry.mutex.Unlock()
 	registry.Listed(registry.take(members, tenures))
--- a/io/registry/terms.go
+++ b/io/registry/terms.go
@@ -134,9 +134,19 @@
 func (registry *Registry) setFormer(group allowance.Group, former homes.Former) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
+	registry.restartFreeLocked(group, former)
 	registry.setFormerLocked(group, former)
 }
 
+// restartFreeLocked counts anew how long a tenure has been free if another home
+// had it since the last look.
+func (registry *Registry) restartFreeLocked(group allowance.Group, former homes.Former) {
+	if registry.formers[group].Incarnation != former.Incarnation {
+		delete(registry.freeSince, group)
+		registry.freeLocked(group, registry.Clock.Boot())
+	}
+}
+
 func (registry *Registry) setFormerLocked(group allowance.Group, former homes.Former) {
 	if registry.formers == nil {
 		registry.formers = map[allowance.Group]homes.Former{}
--- a/io/registry/terms_test.go
+++ b/io/registry/terms_test.go
@@ -119,6 +119,9 @@
 	t.Helper()
 	home.clock.now += balsamproxy.BootTime(10 * time.Second)
 	home.freeSince = map[allowance.Group]balsamproxy.BootTime{group: 0}
+	record, _, err := home.readFloors(t.Context(), group)
+	assert.NilError(t, err)
+	home.setFormerLocked(group, record.Former)
 	swap := balsamproxy.StoreSwap{Key: home.homeKey(group), Value: []byte("{}"), Lease: 1}
 	assert.NilError(t, home.takeTenure(t.Context(), group, swap))
 	return home.Terms()[0]
@@ -275,3 +278,21 @@
 	assert.Assert(t, backup.Promise(group))
 	assert.Assert(t, !backup.startTaking(group))
 }
+
+// TestFreeIsCountedAnew lets a home have the tenure unnoticed by a daemon that
+// has taken it for free for long: that one must wait again.
+func TestFreeIsCountedAnew(t *testing.T) {
+	store := newFakeStore()
+	other := newHome(store, "c", "c1")
+	other.freeSince = map[allowance.Group]balsamproxy.BootTime{group: 0}
+	holder := newHome(store, "a", "a1")
+	holder.Present = func() []balsamproxy.HostID { return []balsamproxy.HostID{"a", "b"} }
+	holder.take(t)
+	delete(store.entries, holder.homeKey(group))
+	swap := balsamproxy.StoreSwap{Key: other.homeKey(group), Value: []byte("{}"), Lease: 2}
+	assert.NilError(t, other.takeTenure(t.Context(), group, swap))
+	assert.Equal(t, len(other.Terms()), 0, "the holder may still be at work")
+	other.clock.now += balsamproxy.BootTime(10 * time.Second)
+	assert.NilError(t, other.takeTenure(t.Context(), group, swap))
+	assert.Equal(t, len(other.Terms()), 1)
+}
