Tell an operator what changed also after the change has arrived here

Traced by the daemons' logs: host-1 had the winner's document (revision 9) before it handled the loser's, no longer knew the one that the loser had seen, and could not say what had changed. A daemon keeps the document before the one in force now. TestCurrentKnowsTheOneBefore fails without that.

--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -139,3 +139,17 @@
 	fmt.Println(len(secret), len(config.FormatDigest(secret)))
 	// Output: 47 71
 }
+
+// TestCurrentKnowsTheOneBefore lets an operator's edit fail that was made on a
+// revision which this daemon has just replaced.
+func TestCurrentKnowsTheOneBefore(t *testing.T) {
+	current := &config.Current{}
+	assert.Assert(t, current.At(1) == nil)
+	first := config.NewIndex(&config.Document{}, 1)
+	second := config.NewIndex(&config.Document{}, 5)
+	assert.Assert(t, current.Offer(first))
+	assert.Assert(t, current.Offer(second))
+	assert.Assert(t, current.At(1) == first)
+	assert.Assert(t, current.At(5) == second)
+	assert.Assert(t, current.At(3) == nil)
+}
--- a/core/config/current.go
+++ b/core/config/current.go
@@ -10,6 +10,8 @@
 // value holds none.
 type Current struct {
 	index atomic.Pointer[Index]
+	// former is the index that the one held has replaced.
+	former atomic.Pointer[Index]
 }
 
 // Offer takes an index if its revision is higher than the one held, and says
@@ -21,6 +23,7 @@
 			return false
 		}
 		if current.index.CompareAndSwap(held, index) {
+			current.former.Store(held)
 			return true
 		}
 	}
@@ -29,6 +32,17 @@
 // Index returns the index held, or nil.
 func (current *Current) Index() *Index { return current.index.Load() }
 
+// At returns the index of a revision if it is the one held or the one before
+// it, or nil.
+func (current *Current) At(revision balsamproxy.Revision) *Index {
+	for _, index := range []*Index{current.index.Load(), current.former.Load()} {
+		if index != nil && index.revision == revision {
+			return index
+		}
+	}
+	return nil
+}
+
 // ServiceRoute returns the route of a target's call in the index held.
 func (current *Current) ServiceRoute(service balsamproxy.ServiceID, method, path string) (Route, bool) {
 	index := current.Index()
--- a/io/operator/handler.go
+++ b/io/operator/handler.go
@@ -157,13 +157,13 @@
 		writeJSON(writer, http.StatusRequestEntityTooLarge, Problem{Problem: "the document is too large or was cut off"})
 		return
 	}
-	before := handler.Current.Index()
+	before := handler.Current.At(balsamproxy.Revision(seen))
 	revision, faults, err := handler.Editor.Apply(request.Context(), data, balsamproxy.Revision(seen))
 	switch {
 	case len(faults) > 0:
 		writeJSON(writer, http.StatusUnprocessableEntity, Problem{Problem: "document refused", Faults: faults})
 	case errors.Is(err, balsamproxy.ErrStoreConflict):
-		handler.writeConflict(writer, request, before, balsamproxy.Revision(seen))
+		handler.writeConflict(writer, request, before)
 	case errors.Is(err, balsamproxy.ErrStoreUnsettled):
 		writeJSON(writer, http.StatusBadGateway, Problem{Problem: "the store's answer was lost; the document may be stored: read it before trying again"})
 	case err != nil:
@@ -184,15 +184,16 @@
 }
 
 // writeConflict shows what stands now, and what changed since the revision
-// that the operator saw if this daemon still knows that one.
-func (handler *Handler) writeConflict(writer http.ResponseWriter, request *http.Request, before *config.Index, seen balsamproxy.Revision) {
+// that the operator saw if this daemon still knows that one: a daemon that has
+// the other operator's document already knows the one before it.
+func (handler *Handler) writeConflict(writer http.ResponseWriter, request *http.Request, before *config.Index) {
 	problem := Problem{Problem: "the configuration has changed since the revision that you saw; nothing was stored"}
 	data, revision, err := handler.Editor.Read(request.Context())
 	if err == nil {
 		problem.Revision = revision
 	}
 	standing, faults := config.Parse(data)
-	if before != nil && before.Revision() == seen && len(faults) == 0 {
+	if before != nil && len(faults) == 0 {
 		problem.Difference = config.Difference(before.Document(), standing)
 	}
 	writeJSON(writer, http.StatusConflict, problem)
