--- a/io/lending/spender.go
+++ b/io/lending/spender.go
@@ -31,7 +31,7 @@
 	// wait; a home that is gone for good is replaced about as soon.
 	homelessMax = 4 * time.Second
 	// homelessRetry is when a caller should come back if there was no home: a
-	// home is replaced about three seconds after it is gone.
+	// home is replaced one to two seconds after it is gone.
 	homelessRetry = time.Second
 
 	kindLoan peer.Kind = "allowance-loan"
