Report when a daemon is short of processor time

Cause: neither logs nor metrics told a daemon without processor time from a slow target.

Change: the mean time that goroutines wait for the processor, from the Go runtime, as a metric and as events when it passes 4 ms.

--- a/io/mesh/run.go
+++ b/io/mesh/run.go
@@ -108,6 +108,7 @@
 	running.startTask(daemon.registry.RunLeases)
 	running.startTask(daemon.spender.RunFloors)
 	running.startTask(daemon.local.Run)
+	running.startTask(daemon.watchProcessor)
 	running.startTask(daemon.runAnnounce)
 	running.startTask(running.dial)
 	running.startTask(running.fetchConfigs)
