Leave at least a twentieth of a target's slots free

Cause: the slots to leave free were rounded down: 2 of 52 (0.962 in use) and 4 of 84 (0.952). Targets that slow down above 95 % of their slots did so whenever they were busy.

Change: round up, as a decision in core/admission.

--- a/io/target/local.go
+++ b/io/target/local.go
@@ -16,10 +16,6 @@
 )
 
 const (
-	// reservedSlotsFraction is the fraction of a target's slots that is left
-	// free: new connections briefly occupy a slot, and some targets slow down
-	// when nearly full.
-	reservedSlotsFraction = 0.05
 	// announcementTimeout is how long after its last announcement a target is
 	// removed. Targets announce themselves every one to two seconds, and
 	// announcements may be delayed by seconds.
@@ -28,8 +24,6 @@
 	// queued, idleInterval while none is.
 	expireInterval = 20 * time.Millisecond
 	idleInterval   = 250 * time.Millisecond
-	// coldSlotsFraction is the fraction of its slots that a cold target may use.
-	coldSlotsFraction = 0.5
 )
 
 // Local forwards calls to the targets of this host. Targets receive calls only
@@ -124,13 +118,9 @@
 		queue = &admissionQueue{waiting: map[admission.Ticket]chan admission.Verdict{}}
 		local.queues[id] = queue
 	}
-	slots := state.Target.Slots
-	slots -= int(float64(slots) * reservedSlotsFraction)
 	queue.cold = now.Before(state.ColdUntil)
-	if queue.cold {
-		slots = int(float64(slots) * coldSlotsFraction)
-	}
-	queue.notify(queue.controller.SetSlots(max(slots, 1), now))
+	slots := admission.UsableSlots(state.Target.Slots, queue.cold)
+	queue.notify(queue.controller.SetSlots(slots, now))
 }
 
 func (queue *admissionQueue) notify(decisions []admission.Decision) {
