Reject a call that would be late instead of queueing it

Cause: a call of a caller was queued as long as its objective had not passed, without its own service time, so under load most of what a full target served came late.

Change: the time left for the objective goes with the call.

Measured: the new cases of TestVerdicts fail without the check (the call waits).

--- a/call.go
+++ b/call.go
@@ -37,6 +37,8 @@
 	Nested bool `cbor:"18,keyasint,omitempty"`
 	// Retried reports whether the caller retries after a refusal.
 	Retried bool `cbor:"19,keyasint,omitempty"`
+	// Objective is the time left to respond at full value, zero if there is none.
+	Objective time.Duration `cbor:"22,keyasint,omitempty"`
 	// MaxQueueWait is the maximum time that the call may wait for this target
 	// before the sender should try another one.
 	MaxQueueWait time.Duration `cbor:"20,keyasint,omitempty"`
--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -35,7 +35,10 @@
 	// MaxWait is the longest time to queue here before another target should be
 	// tried.
 	MaxWait time.Duration
-	arrived time.Time
+	// Objective is the time within which the result has its full value; zero if
+	// there is none. A call is not queued if it would be late.
+	Objective time.Duration
+	arrived   time.Time
 }
 
 // Verdict is the result of an admission decision.
@@ -104,6 +107,10 @@
 	// calls and need the whole mean service time.
 	freeSlotFraction = 0.6
 	nestedFraction   = 0.35
+	// queuedFraction is the multiple of the mean service time that must be left
+	// for a direct call after the expected wait, so that most queued calls
+	// complete in time.
+	queuedFraction = 1.5
 	// guaranteedFraction is the fraction of their share of the demand that direct
 	// calls get however many nested calls arrive.
 	guaranteedFraction = 0.5
@@ -153,10 +160,20 @@
 }
 
 // waitsTooLong reports whether the expected wait exceeds MaxWait or makes the
-// call miss its deadline.
+// call miss its objective or its deadline.
 func (controller *Controller) waitsTooLong(request Request, now time.Time) bool {
 	wait := controller.expectedWait(request)
-	return wait > request.MaxWait || now.Add(wait+controller.minRemaining(request)).After(request.Deadline)
+	if wait > request.MaxWait {
+		return true
+	}
+	if request.Nested {
+		return now.Add(wait + controller.minRemaining(request)).After(request.Deadline)
+	}
+	left := request.Deadline.Sub(now)
+	if request.Objective > 0 {
+		left = min(left, request.Objective)
+	}
+	return wait+time.Duration(queuedFraction*float64(controller.ServiceTime(request.Route))) > left
 }
 
 // hasSlot reports whether a slot is available to the call. Reserved slots are
--- a/core/admission/controller_test.go
+++ b/core/admission/controller_test.go
@@ -49,9 +49,11 @@
 		change func(*admission.Request)
 		want   admission.Verdict
 	}{
-		"waits":                    {func(*admission.Request) {}, admission.Waiting},
-		"no time to wait":          {func(request *admission.Request) { request.MaxWait = 0 }, admission.Full},
-		"cannot meet its deadline": {func(request *admission.Request) { request.Deadline = start.Add(time.Millisecond) }, admission.Expired},
+		"waits":                                   {func(*admission.Request) {}, admission.Waiting},
+		"no time to wait":                         {func(request *admission.Request) { request.MaxWait = 0 }, admission.Full},
+		"cannot meet its deadline":                {func(request *admission.Request) { request.Deadline = start.Add(time.Millisecond) }, admission.Expired},
+		"late after the wait":                     {func(request *admission.Request) { request.Objective = 150 * time.Millisecond }, admission.Full},
+		"in time after the wait":                  {func(request *admission.Request) { request.Objective = 300 * time.Millisecond }, admission.Waiting},
 		"cannot meet its deadline after the wait": {func(request *admission.Request) { request.Deadline = start.Add(150 * time.Millisecond) }, admission.Full},
 	}
 	for name, test := range cases {
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -159,6 +159,15 @@
 	return transaction.objective() / firstWaitDivisor
 }
 
+// objectiveLeft returns the time left until the objective is missed, zero if
+// the request is nested or cannot meet it.
+func (transaction *transaction) objectiveLeft() time.Duration {
+	if transaction.nested {
+		return 0
+	}
+	return transaction.remainingObjective()
+}
+
 // remainingObjective returns the time left until the objective is missed. It is
 // the maximum wait if there is no other target to try.
 func (transaction *transaction) remainingObjective() time.Duration {
@@ -248,6 +257,7 @@
 		Caller:        transaction.entry.Service(),
 		Nested:        transaction.nested,
 		MaxQueueWait:  maxWait,
+		Objective:     transaction.objectiveLeft(),
 		Idempotent:    transaction.route.Idempotent,
 	}
 }
--- a/io/target/delivery.go
+++ b/io/target/delivery.go
@@ -92,6 +92,8 @@
 		Retried:  head.Retried,
 		Deadline: deadline,
 		MaxWait:  head.MaxQueueWait,
+
+		Objective: head.Objective,
 	}
 }
 
