Shed requests at the entry whose calls deeper down fail

Cause: every request was let in, whatever became of those before it. Every call slowed every other one down, payment lookups ended at their deadline with most of their calls made, and callers tried again: a metastable overload, in which the work thrown away keeps the system where it is.

Change: a daemon keeps the results of its own requests by route and priority: served, or failed because a call below was rejected or timed out. The reason travels with the response through each level. If too many fail, the daemon admits a smaller fraction, less urgent classes first, and tells the others that they have not run and when to come back; when they succeed it admits more. It works wherever the bottleneck is and needs no coordination.

--- a/call.go
+++ b/call.go
@@ -64,8 +64,31 @@
 	// DependencyFailed reports whether the target failed because one of its own
 	// calls failed. The same request would then fail at any other target too.
 	DependencyFailed bool `cbor:"5,keyasint,omitempty"`
+	// Congestion is the reason of that failure, if it was congestion.
+	Congestion Congestion `cbor:"6,keyasint,omitempty"`
 }
 
+// ShownCongestion returns the kind of congestion that a response shows.
+func (head ResponseHead) ShownCongestion() Congestion {
+	if head.Status == http.StatusGatewayTimeout && head.Congestion == CongestionNone {
+		return CongestionTimedOut
+	}
+	return head.Congestion
+}
+
+// Congestion classifies calls that failed because of too much load.
+type Congestion int
+
+// Kinds of congestion.
+const (
+	// CongestionNone means that the call did not fail, or for another reason.
+	CongestionNone Congestion = iota
+	// CongestionRejected means that the call was rejected for lack of capacity.
+	CongestionRejected
+	// CongestionTimedOut means that the call was sent and not answered in time.
+	CongestionTimedOut
+)
+
 // Load is the load of one target as observed by the daemon on its host.
 type Load struct {
 	Limit    int `cbor:"1,keyasint"`
--- a/core/admission/controller_test.go
+++ b/core/admission/controller_test.go
@@ -283,10 +283,15 @@
 
 func TestDownstreamFailures(t *testing.T) {
 	var failures admission.DownstreamFailures
-	assert.Assert(t, !failures.Consume(start))
-	failures.Record(start)
-	assert.Assert(t, failures.Consume(start.Add(50*time.Millisecond)))
-	assert.Assert(t, !failures.Consume(start.Add(50*time.Millisecond)))
-	failures.Record(start)
-	assert.Assert(t, !failures.Consume(start.Add(time.Second)))
+	_, found := failures.Consume(start)
+	assert.Assert(t, !found)
+	failures.Record(balsamproxy.CongestionRejected, start)
+	congestion, found := failures.Consume(start.Add(50 * time.Millisecond))
+	assert.Assert(t, found)
+	assert.Equal(t, congestion, balsamproxy.CongestionRejected)
+	_, found = failures.Consume(start.Add(50 * time.Millisecond))
+	assert.Assert(t, !found)
+	failures.Record(balsamproxy.CongestionNone, start)
+	_, found = failures.Consume(start.Add(time.Second))
+	assert.Assert(t, !found)
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -22,6 +22,7 @@
 	"balsamproxy/core/membership"
 	"balsamproxy/core/placement"
 	"balsamproxy/core/suspect"
+	"balsamproxy/core/throttle"
 	"balsamproxy/io/events"
 	"balsamproxy/io/http1"
 	"balsamproxy/io/httpresponse"
@@ -50,7 +51,9 @@
 	// Crashes prevents requests that crash targets from being retried.
 	Crashes CrashTracker
 	// CallFailed is called when a call made by a target of this host has failed.
-	CallFailed func()
+	CallFailed func(congestion balsamproxy.Congestion)
+	// Throttle sheds requests whose calls would be rejected or time out.
+	Throttle *throttle.Throttle
 }
 
 var _ http1.Handler = (*Entry)(nil)
@@ -76,6 +79,7 @@
 	{"route", (*transaction).findRoute},
 	{"account", (*transaction).authenticate},
 	{"evidence", (*transaction).checkEvidence},
+	{"throttle", (*transaction).checkThrottle},
 	{"allowance", (*transaction).spendAllowance},
 	{"place", (*transaction).send},
 }
@@ -93,8 +97,12 @@
 	nested   bool
 	deadline time.Time
 	service  balsamproxy.ServiceID
-	response *balsamproxy.Response
-	attempts attempts
+	// admittedAt is the time at which the throttle admitted the request, zero if
+	// it did not.
+	admittedAt time.Time
+	response   *balsamproxy.Response
+	refusal    *balsamproxy.Refusal
+	attempts   attempts
 }
 
 // Handle processes one request.
@@ -104,8 +112,9 @@
 	defer cancel()
 	response := transaction.runStages(ctx)
 	if transaction.nested && response.Status >= http.StatusBadRequest {
-		entry.CallFailed()
+		entry.CallFailed(transaction.congestion())
 	}
+	transaction.recordOutcome()
 	return response
 }
 
@@ -292,6 +301,7 @@
 
 // refuse returns the response for a refusal and logs the decision.
 func (transaction *transaction) refuse(ctx context.Context, stage string, refusal *balsamproxy.Refusal) http1.Response {
+	transaction.refusal = refusal
 	transaction.count("refused", string(refusal.Reason))
 	response := transaction.entry.refusal(transaction.caller.RequestID, refusal)
 	if ctx.Err() != nil && transaction.deadline.After(transaction.entry.Clock.Now()) {
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -20,6 +20,7 @@
 	"balsamproxy/core/membership"
 	"balsamproxy/core/placement"
 	"balsamproxy/core/suspect"
+	"balsamproxy/core/throttle"
 	"balsamproxy/io/entry"
 	"balsamproxy/io/events"
 	"balsamproxy/io/http1"
@@ -55,6 +56,7 @@
 type step struct {
 	status           int
 	dependencyFailed bool
+	congestion       balsamproxy.Congestion
 	refusal          *balsamproxy.Refusal
 }
 
@@ -66,7 +68,7 @@
 		return nil, &refusal
 	}
 	return &balsamproxy.Response{
-		Head: balsamproxy.ResponseHead{Status: next.status, DependencyFailed: next.dependencyFailed},
+		Head: balsamproxy.ResponseHead{Status: next.status, DependencyFailed: next.dependencyFailed, Congestion: next.congestion},
 		Body: io.NopCloser(bytes.NewReader(nil)),
 	}, nil
 }
@@ -102,7 +104,8 @@
 		Events:     &events.Log{Logger: zerolog.Nop(), Now: time.Now},
 		Metrics:    tally.NoopScope,
 		Crashes:    noop{},
-		CallFailed: func() {},
+		CallFailed: func(balsamproxy.Congestion) {},
+		Throttle:   &throttle.Throttle{},
 	}
 	handler.Budget.SetMax(float64(retryBudget))
 	handler.Evidence.Confirm(clock.Boot())
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -29,6 +29,7 @@
 	"balsamproxy/core/membership"
 	"balsamproxy/core/placement"
 	"balsamproxy/core/settings"
+	"balsamproxy/core/throttle"
 	"balsamproxy/io/entry"
 	"balsamproxy/io/events"
 	"balsamproxy/io/fleet"
@@ -260,6 +261,7 @@
 
 		CallFailed: daemon.local.CallFailed,
 		Crashes:    &daemon.crashes,
+		Throttle:   &throttle.Throttle{},
 	}
 	daemon.callers = &http1.Server{Handler: handler}
 }
--- a/io/target/delivery.go
+++ b/io/target/delivery.go
@@ -193,12 +193,14 @@
 	}
 	delivery.local.Dialect.RemoveResponseID(received.header)
 	received.header.Del("Content-Length")
+	congestion, dependencyFailed := delivery.local.dependencyFailed(received.status)
 	return &balsamproxy.Response{
 		Head: balsamproxy.ResponseHead{
 			Status:           received.status,
 			Header:           received.header,
 			ContentLength:    received.contentLength,
-			DependencyFailed: delivery.local.dependencyFailed(received.status),
+			DependencyFailed: dependencyFailed,
+			Congestion:       congestion,
 		},
 		Body: io.NopCloser(bytes.NewReader(received.body)),
 	}, nil
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -218,17 +218,17 @@
 }
 
 // CallFailed records that a call made by a target of this host has failed.
-func (local *Local) CallFailed() {
+func (local *Local) CallFailed(congestion balsamproxy.Congestion) {
 	local.mutex.Lock()
 	defer local.mutex.Unlock()
-	local.downstreamFailures.Record(local.Clock.Now())
+	local.downstreamFailures.Record(congestion, local.Clock.Now())
 }
 
 // dependencyFailed reports whether a failed response is attributed to a failed
-// call of the target.
-func (local *Local) dependencyFailed(status int) bool {
+// call of the target, and of which kind that failure was.
+func (local *Local) dependencyFailed(status int) (balsamproxy.Congestion, bool) {
 	if status < http.StatusInternalServerError {
-		return false
+		return balsamproxy.CongestionNone, false
 	}
 	local.mutex.Lock()
 	defer local.mutex.Unlock()
--- a/refusal.go
+++ b/refusal.go
@@ -85,3 +85,15 @@
 func MayHaveRun(reason Reason, detail string) *Refusal {
 	return &Refusal{Outcome: OutcomeMayHaveRun, Reason: reason, Detail: detail}
 }
+
+// Congestion returns the kind of congestion that the refusal shows.
+func (refusal *Refusal) Congestion() Congestion {
+	switch {
+	case refusal.Reason == ReasonOverloaded, refusal.Reason == ReasonDeadline && refusal.Outcome == OutcomeNotRun:
+		return CongestionRejected
+	case refusal.Reason == ReasonDeadline:
+		return CongestionTimedOut
+	default:
+		return CongestionNone
+	}
+}
