Shed requests whose calls fail in the older daemon as well

Its limiter shrinks a target's concurrency after time-outs, which protects that target, but the work in front of it is spent all the same.

Evidence: TestRequestsWhoseCallsHangAreShed times out after 20 s without the change: no request to a service behind which another one hangs is ever shed.

Change: the handler of callers asks the throttle. The trace context tells which call made a nested call, so its reason is kept with the parent and goes with the response; no guess by time is needed there.

Measured: the test passes; requests are served again after the hang.

--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -15,6 +15,7 @@
 	"balsamproxy"
 	"balsamproxy/core/config"
 	"balsamproxy/core/retry"
+	"balsamproxy/core/throttle"
 	"balsamproxy/io/fleet"
 	"balsamproxy/io/httpresponse"
 	"balsamproxy/io/orders"
@@ -29,6 +30,9 @@
 	// bodyReadMargin is added to the time-out of a request for the read deadline
 	// of its connection.
 	bodyReadMargin = time.Second
+	// shedRetryAfter is the Retry-After of requests that the throttle sheds. The
+	// header has whole seconds.
+	shedRetryAfter = time.Second
 	// idleSettleTime is how long all connections must have been idle before the
 	// server counts as idle.
 	idleSettleTime = 500 * time.Millisecond
@@ -48,6 +52,10 @@
 	Allowance balsamproxy.Allowance
 	// Orders ensures that each order runs at most once.
 	Orders *orders.Guard
+	// Throttle sheds requests whose calls would be rejected or time out.
+	Throttle *throttle.Throttle
+	// Random returns uniformly distributed numbers in [0, 1).
+	Random func() float64
 
 	answers     httpresponse.Writer
 	leaving     atomic.Bool
@@ -164,15 +172,25 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	class := throttle.Class{Route: match.route.ID, Priority: match.route.Priority}
+	admittedAt := handler.Clock.Now()
+	if !handler.Throttle.Admit(class, handler.Random(), admittedAt) {
+		return nil, throttle.Refuse(shedRetryAfter)
+	}
 	if match.account != "" {
 		if refusal := handler.Allowance.Spend(ctx, match.account); refusal != nil {
 			return nil, refusal
 		}
 	}
+	send := run.order
 	if match.route.Idempotent {
-		return run.dispatch(ctx, match)
+		send = run.dispatch
+	}
+	answer, refusal := send(ctx, match)
+	if outcome, known := throttle.OutcomeOf(answer, refusal); known {
+		handler.Throttle.Record(class, outcome, admittedAt, handler.Clock.Now())
 	}
-	return run.order(ctx, match)
+	return answer, refusal
 }
 
 // dispatch sends a request to a target.
--- a/io/daemon/wire.go
+++ b/io/daemon/wire.go
@@ -11,6 +11,7 @@
 	"balsamproxy/core/balance"
 	"balsamproxy/core/claim"
 	"balsamproxy/core/settings"
+	"balsamproxy/core/throttle"
 	"balsamproxy/io/allowance"
 	"balsamproxy/io/caller"
 	"balsamproxy/io/etcd"
@@ -175,6 +176,8 @@
 
 		Allowance: daemon.spender,
 		Orders:    daemon.orders,
+		Throttle:  &throttle.Throttle{},
+		Random:    rand.Float64,
 	}
 	daemon.targets = &target.Handler{
 		Host:      host,
--- a/io/target/forwarder.go
+++ b/io/target/forwarder.go
@@ -99,12 +99,17 @@
 		return nil, err
 	}
 	response := exchange.response
+	congestion := balsamproxy.CongestionNone
+	if response.StatusCode >= http.StatusInternalServerError {
+		congestion = forwarder.Parents.Congestion(span)
+	}
 	body := &responseBody{ReadCloser: exchange, release: finish}
 	head := balsamproxy.ResponseHead{
 		Status:        response.StatusCode,
 		Header:        httpresponse.CleanHeader(response.Header),
 		ContentLength: contentLength(call.Head.Method, response),
 		Load:          limited.load(),
+		Congestion:    congestion,
 	}
 	return &balsamproxy.Response{Head: head, Body: body}, nil
 }
--- a/io/target/nested.go
+++ b/io/target/nested.go
@@ -77,9 +77,12 @@
 	outgoing.Body = body
 	response, err := handler.Dispatch.Dispatch(ctx, outgoing)
 	if err != nil {
-		httpresponse.WriteRefusal(writer, parent.Head.RequestID, fleet.RefusalOf(err))
+		refusal := fleet.RefusalOf(err)
+		parent.RecordCongestion(refusal.Congestion())
+		httpresponse.WriteRefusal(writer, parent.Head.RequestID, refusal)
 		return
 	}
+	parent.RecordCongestion(response.Head.ShownCongestion())
 	handler.responses.Write(writer, parent.Head.RequestID, response)
 }
 
