Bound what a target's answer may take, in head and body

Cause: the parser of response heads has no limit, so a head without end was read into memory until the deadline. Bodies were limited one by one to 64 MiB, not together, and closing a body that was given up read it on to its end, which never came.

What callers would see: daemons killed for their memory, and 504 after the whole deadline for an answer that was known to be broken.

Change: the heads of an answer, interim ones included, may have 64 KiB. Bodies are buffered in pieces from a budget of a quarter of the memory setting; one body gets no more than is left for the others, and the first 4 KiB of each are free. What exceeds that is 502 at once, may have run, and its connection is closed unread. A single body may now have 32 MiB without a memory setting, 35 MiB with 284 MB; it was 64 MiB.

--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -27,6 +27,7 @@
 	"balsamproxy/core/config"
 	"balsamproxy/core/evidence"
 	"balsamproxy/core/membership"
+	"balsamproxy/core/memory"
 	"balsamproxy/core/placement"
 	"balsamproxy/core/settings"
 	"balsamproxy/core/throttle"
@@ -53,6 +54,10 @@
 	// above which it collects garbage more often.
 	memoryLimitNumerator   = 7
 	memoryLimitDenominator = 10
+	// bodyMemoryDivisor gives the fraction of the memory setting that bodies of
+	// responses may use, defaultBodyMemory is used without that setting.
+	bodyMemoryDivisor = 4
+	defaultBodyMemory = 64 << 20
 	// requestRetryShare is the fraction of the fleet's retry ratio used for
 	// retries of requests of callers. The rest is reserved for retries of the
 	// calls that they cause.
@@ -168,6 +173,7 @@
 		Record:  daemon.recordTargets,
 		Log:     daemon.log,
 		Metrics: daemon.metrics,
+		Bodies:  &memory.Budget{Bytes: daemon.bodyMemory()},
 	}
 	daemon.peerServer = &peer.Server{Local: daemon.local, Status: daemon.status, OnStatus: daemon.handleGreeting}
 	daemon.pool = &peer.Pool{
@@ -182,6 +188,14 @@
 	}
 }
 
+// bodyMemory returns the memory for bodies of responses, in bytes.
+func (daemon *Daemon) bodyMemory() int64 {
+	if daemon.settings.MemoryMB == 0 {
+		return defaultBodyMemory
+	}
+	return int64(daemon.settings.MemoryMB) << 20 / bodyMemoryDivisor
+}
+
 func (daemon *Daemon) wireStore() {
 	daemon.registry = &registry.Registry{
 		Store:       daemon.platform.Store,
--- a/io/target/connection_pool.go
+++ b/io/target/connection_pool.go
@@ -29,6 +29,7 @@
 // connection is one connection to a target.
 type connection struct {
 	net.Conn
+	limited *limitedReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	address string
@@ -82,9 +83,11 @@
 	if err != nil {
 		return nil, err
 	}
+	limited := &limitedReader{Reader: conn}
 	return &connection{
 		Conn:    conn,
-		reader:  bufio.NewReaderSize(conn, bufferBytes),
+		limited: limited,
+		reader:  bufio.NewReaderSize(limited, bufferBytes),
 		writer:  bufio.NewWriterSize(conn, bufferBytes),
 		address: address,
 	}, nil
--- a/io/target/delivery.go
+++ b/io/target/delivery.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -178,6 +177,9 @@
 // evaluate converts the response of the target to a response or a refusal.
 func (delivery *delivery) evaluate(received *targetResponse) (*balsamproxy.Response, *balsamproxy.Refusal) {
 	metadata := received.metadata
+	if metadata.NotRun || metadata.ImpliesNotRun && !delivery.call.Head.Idempotent {
+		_ = received.body.Close()
+	}
 	switch {
 	case metadata.AddressReassigned:
 		refusal := balsamproxy.NotRun(balsamproxy.ReasonDraining, "another target has the address")
@@ -202,7 +204,7 @@
 			DependencyFailed: dependencyFailed,
 			Congestion:       congestion,
 		},
-		Body: io.NopCloser(bytes.NewReader(received.body)),
+		Body: received.body,
 	}, nil
 }
 
--- a/io/target/delivery_exchange.go
+++ b/io/target/delivery_exchange.go
@@ -1,11 +1,9 @@
 package target
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -21,8 +19,6 @@
 	// mismatchedMax limits how many responses are read while the expected one is
 	// awaited; those with the id of another request are skipped.
 	mismatchedMax = 4
-	// responseBytesMax is the maximum size of a response body.
-	responseBytesMax = 64 << 20
 	// nonIdempotentIdleMax is the maximum idle time of a connection that carries
 	// a non-idempotent call. The target may have dropped an older connection,
 	// and such a call cannot be retried.
@@ -38,14 +34,13 @@
 	// errMismatchedResponse means that a connection returned responses to other
 	// requests.
 	errMismatchedResponse = errors.New("target: answers to other requests")
-	errResponseTooLong    = errors.New("target: answer too long")
 )
 
 // targetResponse is a complete response of a target.
 type targetResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *bodyBuffer
 	// contentLength is the length of the body. For a response to a HEAD request
 	// it is the announced length, while the body is empty.
 	contentLength int64
@@ -105,11 +100,11 @@
 // requests. It also reports whether the connection is reusable.
 func (delivery *delivery) readResponse(connection *connection, request *http.Request) (*targetResponse, bool, error) {
 	for range mismatchedMax {
-		response, err := readFinalResponse(connection.reader, request) //nolint:bodyclose // readFullResponse closes it
+		response, err := connection.readFinalResponse(request) //nolint:bodyclose // the connection is closed instead
 		if err != nil {
 			return nil, false, unexpectedEOF(err)
 		}
-		received, err := readFullResponse(response)
+		received, err := delivery.readFullResponse(response)
 		if err != nil {
 			return nil, false, err
 		}
@@ -117,6 +112,7 @@
 		if received.metadata.RequestID == delivery.call.Head.RequestID {
 			return received, connection.reusable(response), nil
 		}
+		_ = received.body.Close()
 		if response.Close {
 			return nil, false, errMismatchedResponse
 		}
@@ -124,30 +120,23 @@
 	return nil, false, errMismatchedResponse
 }
 
-func readFinalResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
-	for range interimMax {
-		response, err := http.ReadResponse(reader, request)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
-		}
+// readFullResponse reads the body of a response. It does not close it: that would
+// read on to the end of a body that was given up, and a complete one needs no
+// closing.
+func (delivery *delivery) readFullResponse(response *http.Response) (*targetResponse, error) {
+	length := response.ContentLength
+	if response.Request.Method == http.MethodHead {
+		length = 0
 	}
-	return nil, errTooManyInterim
-}
-
-func readFullResponse(response *http.Response) (*targetResponse, error) {
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, responseBytesMax+1))
+	body, err := readBody(response.Body, length, delivery.local.Bodies)
 	if err != nil {
-		return nil, unexpectedEOF(err)
-	}
-	if len(body) > responseBytesMax {
-		return nil, errResponseTooLong
+		return nil, err
 	}
 	received := &targetResponse{
 		status:        response.StatusCode,
 		header:        httpresponse.CleanHeader(response.Header),
 		body:          body,
-		contentLength: int64(len(body)),
+		contentLength: body.length,
 	}
 	if response.Request.Method == http.MethodHead {
 		received.contentLength = response.ContentLength
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -13,11 +13,6 @@
 	"balsamproxy/task"
 )
 
-// interimMax is the maximum number of interim (1xx) responses to a request.
-const interimMax = 8
-
-var errTooManyInterim = errors.New("target: too many interim answers")
-
 // exchange is one request on one connection to a target. It implements the body
 // of the response.
 type exchange struct {
@@ -86,17 +81,12 @@
 
 // readHead reads the head of the final response.
 func (exchange *exchange) readHead(request *http.Request) error {
-	for range interimMax {
-		response, err := http.ReadResponse(exchange.connection.reader, request) //nolint:bodyclose // the exchange wraps the body
-		if err != nil {
-			return unexpectedEOF(err)
-		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			exchange.response = response
-			return nil
-		}
+	response, err := exchange.connection.readFinalResponse(request) //nolint:bodyclose // the exchange wraps the body
+	if err != nil {
+		return unexpectedEOF(err)
 	}
-	return errTooManyInterim
+	exchange.response = response
+	return nil
 }
 
 // unexpectedEOF converts io.EOF, so that a closed connection is not taken for
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -12,6 +12,7 @@
 	"balsamproxy"
 	"balsamproxy/core/admission"
 	"balsamproxy/core/announced"
+	"balsamproxy/core/memory"
 	"balsamproxy/task"
 )
 
@@ -39,6 +40,9 @@
 	Record  func(records []announced.Record)
 	Log     zerolog.Logger
 	Metrics tally.Scope
+	// Bodies bounds the memory for bodies of responses. A single body gets at
+	// most half of it.
+	Bodies *memory.Budget
 
 	mutex              sync.Mutex
 	table              announced.Table
--- a/proofs/idle_test.go
+++ b/proofs/idle_test.go
@@ -122,7 +122,7 @@
 	return total
 }
 
-func residentMegabytes(b *testing.B, pid int) float64 {
+func residentMegabytes(b testing.TB, pid int) float64 {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	assert.NilError(b, err)
 	for line := range strings.SplitSeq(string(data), "\n") {
