Bound the wait of a nested call at the last full target

Cause: a nested call waits 60 ms at most at a target while there are others to try, but up to its whole objective at the last one. Under overload calls used up the time of their request in that queue and timed out after their siblings had run. The load report also told nested calls the wait of callers' calls, which have fewer slots.

Change: a nested call never waits longer than 60 ms at one target, and the load report tells the wait of the kind of call that it answers. Its caller fails at once, and the throttle lets fewer requests in.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -416,12 +416,13 @@
 	return first
 }
 
-// Load returns the load report that is sent with responses.
-func (controller *Controller) Load(route balsamproxy.RouteID) balsamproxy.Load {
+// Load returns the load report that is sent with the response to a call of the
+// route, nested or direct.
+func (controller *Controller) Load(route balsamproxy.RouteID, nested bool) balsamproxy.Load {
 	return balsamproxy.Load{
 		Limit:    controller.slots,
 		InFlight: controller.inFlight,
 		Queued:   len(controller.waiting),
-		Wait:     controller.expectedWait(Request{Route: route}),
+		Wait:     controller.expectedWait(Request{Route: route, Nested: nested}),
 	}
 }
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -181,6 +181,9 @@
 	attempts := &transaction.attempts
 	endpoint := attempts.fullTarget
 	maxWait := transaction.remainingObjective()
+	if transaction.nested {
+		maxWait = min(maxWait, nestedMaxWait)
+	}
 	if endpoint.Target.ID == "" || attempts.fullWait > maxWait {
 		refusal := balsamproxy.NotRun(balsamproxy.ReasonOverloaded, "all targets of the service are full")
 		refusal.RetryAfter = max(attempts.fullWait, overloadedRetryAfter)
--- a/io/target/delivery.go
+++ b/io/target/delivery.go
@@ -43,7 +43,7 @@
 func (delivery *delivery) load() balsamproxy.Load {
 	delivery.local.mutex.Lock()
 	defer delivery.local.mutex.Unlock()
-	return delivery.queue.controller.Load(delivery.call.Head.Route)
+	return delivery.queue.controller.Load(delivery.call.Head.Route, delivery.call.Head.Nested)
 }
 
 // acquire waits for admission by the target's admission controller.
@@ -67,7 +67,7 @@
 		verdicts = make(chan admission.Verdict, 1)
 		queue.waiting[delivery.ticket] = verdicts
 	}
-	load := queue.controller.Load(head.Route)
+	load := queue.controller.Load(head.Route, head.Nested)
 	local.mutex.Unlock()
 	if verdicts != nil {
 		local.wakeUp()
