--- a/io/entry/throttle_test.go
+++ b/io/entry/throttle_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"balsamproxy"
+	"balsamproxy/core/config"
 	"balsamproxy/io/http1"
 )
 
@@ -67,3 +68,24 @@
 		})
 	}
 }
+
+// TestNestedCallsWaitBriefly guards against calls of targets that use up the time
+// of their request in the queue of a full target.
+func TestNestedCallsWaitBriefly(t *testing.T) {
+	full := balsamproxy.NotRun(balsamproxy.ReasonOverloaded, "")
+	full.Load.Wait = 20 * time.Millisecond
+	script := &script{steps: []step{{refusal: full}}}
+	handler := newEntry(script, 0)
+	document := *handler.Config.Index().Document()
+	document.Routes = append(document.Routes, config.Route{
+		ID: "call", Service: "s1", Path: "/call/", Methods: []string{config.AnyMethod}, Access: config.AccessOpen, Deadline: 5000, Objective: 2000,
+	})
+	handler.Config.Update(config.NewIndex(&document, 2))
+	head := httptest.NewRequest(http.MethodGet, "/call/a", nil)
+	handler.Handle(context.Background(), &http1.Request{Head: head, ReadAt: time.Now()})
+	assert.Assert(t, len(script.calls) > 1)
+	for _, call := range script.calls {
+		assert.Assert(t, call.Nested)
+		assert.Assert(t, call.MaxQueueWait <= 100*time.Millisecond, "%v", call.MaxQueueWait)
+	}
+}
