Admit a class in full after a pause

Cause: the admitted fraction of a class stayed where it was while the class had no requests, and idle classes were dropped only when a new one came.

What callers would see: nine of ten of them shed after a pause, for a congestion that ended long before. Found by reading; the test fails without the change. Fraction had no caller and is gone.

--- a/core/throttle/throttle.go
+++ b/core/throttle/throttle.go
@@ -60,7 +60,8 @@
 	maxDecrease  = 0.3
 	increase     = 1.5
 	slowIncrease = 1.15
-	// idleTimeout is how long a class without requests is kept.
+	// idleTimeout is how long a class without requests is kept. Its results say
+	// nothing about the present after that.
 	idleTimeout = 10 * time.Second
 )
 
@@ -86,20 +87,13 @@
 	throttle.mutex.Lock()
 	defer throttle.mutex.Unlock()
 	state := throttle.state(class, now)
+	if now.Sub(state.usedAt) > idleTimeout {
+		*state = classState{fraction: 1, roundStart: now}
+	}
 	state.usedAt = now
 	return random < state.fraction
 }
 
-// Fraction returns the fraction of the requests of a class that is admitted.
-func (throttle *Throttle) Fraction(class Class) float64 {
-	throttle.mutex.Lock()
-	defer throttle.mutex.Unlock()
-	if state, found := throttle.classes[class]; found {
-		return state.fraction
-	}
-	return 1
-}
-
 // Record records the outcome of a request that was admitted at the given time.
 // A request that was admitted before the fraction last changed is ignored.
 func (throttle *Throttle) Record(class Class, outcome Outcome, admittedAt, now time.Time) {
