--- a/io/target/delivery.go
+++ b/io/target/delivery.go
@@ -176,22 +176,9 @@
 
 // evaluate converts the response of the target to a response or a refusal.
 func (delivery *delivery) evaluate(received *targetResponse) (*balsamproxy.Response, *balsamproxy.Refusal) {
-	metadata := received.metadata
-	if metadata.NotRun || metadata.ImpliesNotRun && !delivery.call.Head.Idempotent {
+	if refusal := delivery.refusedByTarget(received.metadata); refusal != nil {
 		_ = received.body.Close()
-	}
-	switch {
-	case metadata.AddressReassigned:
-		refusal := balsamproxy.NotRun(balsamproxy.ReasonDraining, "another target has the address")
-		refusal.RefusedByTarget = true
-		delivery.markDown()
 		return nil, refusal
-	case metadata.NotRun:
-		refusal := balsamproxy.NotRun(balsamproxy.ReasonOverloaded, "the target refused the call")
-		refusal.RefusedByTarget = true
-		return nil, refusal
-	case metadata.ImpliesNotRun && !delivery.call.Head.Idempotent:
-		return nil, balsamproxy.MayHaveRun(balsamproxy.ReasonTargetFailed, "the target refused without saying that it did not run the call")
 	}
 	delivery.local.Dialect.RemoveResponseID(received.header)
 	received.header.Del("Content-Length")
@@ -208,6 +195,26 @@
 	}, nil
 }
 
+// refusedByTarget returns the refusal for a response that says, or implies, that
+// the target did not run the call, and nil for any other.
+func (delivery *delivery) refusedByTarget(metadata balsamproxy.ResponseMetadata) *balsamproxy.Refusal {
+	switch {
+	case metadata.AddressReassigned:
+		refusal := balsamproxy.NotRun(balsamproxy.ReasonDraining, "another target has the address")
+		refusal.RefusedByTarget = true
+		delivery.markDown()
+		return refusal
+	case metadata.NotRun:
+		refusal := balsamproxy.NotRun(balsamproxy.ReasonOverloaded, "the target refused the call")
+		refusal.RefusedByTarget = true
+		return refusal
+	case metadata.ImpliesNotRun && !delivery.call.Head.Idempotent:
+		return balsamproxy.MayHaveRun(balsamproxy.ReasonTargetFailed, "the target refused without saying that it did not run the call")
+	default:
+		return nil
+	}
+}
+
 // refusalFor returns the refusal for a failed exchange and checks whether the
 // target crashed.
 func (delivery *delivery) refusalFor(ctx context.Context, err error) *balsamproxy.Refusal {
