Admission: look up the free slots once for each pass over the queue

hasSlot depends only on the kind of call but was asked for each queued one, and counts the queue itself: quadratic while the queue is long, on the daemon that is short of processor time. Decisions are the same.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -145,7 +145,7 @@
 	if now.Add(controller.minRemainingForFreeSlot(request)).After(request.Deadline) {
 		return Expired, nil
 	}
-	if controller.hasSlot(request) && !controller.hasPrecedingWaiter(request) {
+	if controller.hasSlot(request.Nested) && !controller.hasPrecedingWaiter(request) {
 		controller.admit(request)
 		return Admitted, nil
 	}
@@ -176,11 +176,12 @@
 	return wait+time.Duration(queuedFraction*float64(controller.ServiceTime(request.Route))) > left
 }
 
-// hasSlot reports whether a slot is available to the call. Reserved slots are
-// available to nested calls only, guaranteed slots to direct calls only.
-func (controller *Controller) hasSlot(request Request) bool {
+// hasSlot reports whether a slot is available to a nested or to a direct call.
+// Reserved slots are available to nested calls only, guaranteed slots to direct
+// calls only.
+func (controller *Controller) hasSlot(nested bool) bool {
 	switch {
-	case request.Nested:
+	case nested:
 		return controller.inFlight+controller.owedSlots() < controller.slots
 	case controller.inFlight-controller.nested < controller.guaranteedSlots():
 		return controller.inFlight < controller.slots
@@ -228,8 +229,9 @@
 // hasPrecedingWaiter reports whether a queued call takes precedence over the
 // request and could use the same slot.
 func (controller *Controller) hasPrecedingWaiter(request Request) bool {
+	nestedSlot, directSlot := controller.hasSlot(true), controller.hasSlot(false)
 	for _, waiting := range controller.waiting {
-		if !precedes(request, waiting) && controller.hasSlot(waiting) {
+		if !precedes(request, waiting) && (waiting.Nested && nestedSlot || !waiting.Nested && directSlot) {
 			return true
 		}
 	}
@@ -407,9 +409,11 @@
 // nextWaiting returns the index of the first queued call to which a slot is
 // available, or -1.
 func (controller *Controller) nextWaiting() int {
+	nestedSlot, directSlot := controller.hasSlot(true), controller.hasSlot(false)
 	first := -1
 	for index, request := range controller.waiting {
-		if (first < 0 || precedes(request, controller.waiting[first])) && controller.hasSlot(request) {
+		available := request.Nested && nestedSlot || !request.Nested && directSlot
+		if available && (first < 0 || precedes(request, controller.waiting[first])) {
 			first = index
 		}
 	}
