Throttle: ignore refusals of faulty targets, open twice as fast

Cause: a target that refuses calls of its own, though it gets no more than it has slots for, counted as lack of capacity. Shedding does not help against that, and after its end the fraction grew by half a round only.

Change: a refusal by the target itself is no congestion. Without failures the admitted fraction doubles each round.

--- a/core/throttle/throttle.go
+++ b/core/throttle/throttle.go
@@ -58,7 +58,7 @@
 	minFraction = 0.1
 	// maxDecrease and the increase factors bound the change of one round.
 	maxDecrease  = 0.3
-	increase     = 1.5
+	increase     = 2.0
 	slowIncrease = 1.15
 	// idleTimeout is how long a class without requests is kept. Its results say
 	// nothing about the present after that.
--- a/refusal.go
+++ b/refusal.go
@@ -86,9 +86,12 @@
 	return &Refusal{Outcome: OutcomeMayHaveRun, Reason: reason, Detail: detail}
 }
 
-// Congestion returns the kind of congestion that the refusal shows.
+// Congestion returns the kind of congestion that the refusal shows. Targets get
+// no more calls than they have slots, so one that refuses a call is faulty.
 func (refusal *Refusal) Congestion() Congestion {
 	switch {
+	case refusal.RefusedByTarget:
+		return CongestionNone
 	case refusal.Reason == ReasonOverloaded, refusal.Reason == ReasonDeadline && refusal.Outcome == OutcomeNotRun:
 		return CongestionRejected
 	case refusal.Reason == ReasonDeadline:
