Test ports: keep the ports of test processes further apart

Cause: a test process may use more than the 97 ports that lay between it and the next one, and since TestEndlessAnswers starts its fleets in parallel the tests of platform do. The port of a daemon that is down looks free, so another process took the one of a killed daemon of the soak, which could not start again.

Change: 1009 ports between processes, so 21 processes with successive ids share none.

--- a/internal/standin/ports/ports.go
+++ b/internal/standin/ports/ports.go
@@ -13,9 +13,10 @@
 // connection takes a port between Free and its use.
 const (
 	firstPort = 10_000
-	portCount = 20_000
-	// processStride separates the ports of processes with successive ids.
-	processStride = 97
+	portCount = 22_000
+	// processStride separates the ports of processes with successive ids. A port
+	// whose daemon is down looks free to other processes.
+	processStride = 1009
 )
 
 var next atomic.Int64
