--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 	"drain":    runDrain,
 	"homes":    runHomes,
 	"poison":   runPoison,
+	"recall":   runRecall,
 	"stopping": runStopping,
 	"uploads":  runUploads,
 }
