--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -14,8 +14,8 @@
 	lookupWork = 880 * time.Millisecond
 	slowFactor = 5
 	// lookupInterval is the time between two requests. They use nearly all slots of
-	// the two targets.
-	lookupInterval = 70 * time.Millisecond
+	// the three targets.
+	lookupInterval = 46 * time.Millisecond
 	// leaveDelay is the time after which the operator begins to replace the slow
 	// target, and replacementLead the time that its replacement has before it leaves.
 	leaveDelay      = 1200 * time.Millisecond
@@ -54,7 +54,7 @@
 // planner is the account of the requests.
 var planner = account{name: "planner", key: "key-of-planner", rate: 500, burst: 500}
 
-// runDrain empties one of two targets, in the disruption one that has turned slow,
+// runDrain empties one of three targets, in the disruption one that has turned slow,
 // and checks that no request reaches it later than the bound after its leaving was
 // acknowledged.
 func runDrain(fleet *fleet) (bool, error) {
@@ -73,7 +73,7 @@
 		return false, err
 	}
 	runs := &arrivals{}
-	for _, name := range []string{"2", "3"} {
+	for _, name := range []string{"2", "3", "4"} {
 		if err := fleet.addLofts(name, runs); err != nil {
 			return false, err
 		}
@@ -90,7 +90,7 @@
 		time.AfterFunc(slowDuration, func() { leaving.work.Store(int64(lookupWork)) })
 	}
 	time.Sleep(leaveDelay)
-	if err := fleet.addLofts("4", runs); err != nil {
+	if err := fleet.addLofts("5", runs); err != nil {
 		return false, err
 	}
 	time.Sleep(replacementLead)
