Planned stop: refuse requests that no target has received

Callers saw: a machine that was stopped closed all connections at the end of its grace. Calls that peers had queued for a target of a stopping host got 502 although they had not run. Cause: shutDown only waited for requests in progress. Nothing refused those that were still waiting, and the queue is kept by the daemon beside the target, so the stopping daemon could not tell what had been sent. Change: after 0.4 of the grace, waits for allowance and targets end, and calls are recalled; a new frame field asks the daemon beside the target to refuse a call that is still queued. Calls of peers are recalled likewise. Ruled out: that the wait itself is at fault; without the stop all requests are answered.

--- a/call.go
+++ b/call.go
@@ -51,6 +51,25 @@
 	Head CallHead
 	// Body is never nil. It ends with io.EOF only if it is complete.
 	Body io.Reader
+	// Recalled is closed when the call is to be refused unless it has been sent to
+	// its target. If nil, the call is never recalled.
+	Recalled <-chan struct{}
+}
+
+// IsRecalled reports whether Recalled is closed.
+func (call Call) IsRecalled() bool {
+	select {
+	case <-call.Recalled:
+		return true
+	default:
+		return false
+	}
+}
+
+// RecalledRefusal returns the refusal of a call that was recalled before it was sent
+// to its target.
+func RecalledRefusal() *Refusal {
+	return NotRun(ReasonShuttingDown, "recalled by a daemon that shuts down before it was sent to a target")
 }
 
 // ResponseHead describes one response of a target, apart from its body.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -54,6 +54,8 @@
 	CallFailed func(congestion balsamproxy.Congestion)
 	// Throttle sheds requests whose calls would be rejected or time out.
 	Throttle *throttle.Throttle
+
+	inProgress inProgress
 }
 
 var _ http1.Handler = (*Entry)(nil)
@@ -67,7 +69,7 @@
 }
 
 // stage is one step of request processing. Its run function returns nil if the
-// request may continue.
+// request may continue. Its context is also cancelled when the request is recalled.
 type stage struct {
 	name string
 	run  func(*transaction, context.Context) *balsamproxy.Refusal
@@ -88,11 +90,16 @@
 type transaction struct {
 	entry   *Entry
 	request *http1.Request
-	header  http.Header
-	caller  balsamproxy.CallerHead
-	index   *config.Index
-	route   config.Route
-	account balsamproxy.ClientAccountID
+	// context is that of the request. It goes on when the request is recalled.
+	context context.Context
+	// recall closes recalled. It may be called at any time.
+	recall   func()
+	recalled <-chan struct{}
+	header   http.Header
+	caller   balsamproxy.CallerHead
+	index    *config.Index
+	route    config.Route
+	account  balsamproxy.ClientAccountID
 	// nested reports whether a target made the request while serving another.
 	nested bool
 	// permit is the token of the account's allowance for this request.
@@ -112,7 +119,12 @@
 	transaction := &transaction{entry: entry, request: request}
 	ctx, cancel := transaction.withDeadline(ctx)
 	defer cancel()
-	response := transaction.runStages(ctx)
+	transaction.context = ctx
+	waiting, release := transaction.withRecall(ctx)
+	defer release()
+	entry.inProgress.add(transaction)
+	defer entry.inProgress.remove(transaction)
+	response := transaction.runStages(waiting)
 	if transaction.nested && response.Status >= http.StatusBadRequest {
 		entry.CallFailed(transaction.congestion())
 	}
@@ -121,10 +133,10 @@
 }
 
 // runStages runs all stages and returns the response.
-func (transaction *transaction) runStages(ctx context.Context) http1.Response {
+func (transaction *transaction) runStages(waiting context.Context) http1.Response {
 	for _, stage := range stages {
-		if refusal := stage.run(transaction, ctx); refusal != nil {
-			return transaction.refuse(ctx, stage.name, refusal)
+		if refusal := stage.run(transaction, waiting); refusal != nil {
+			return transaction.refuse(stage.name, refusal)
 		}
 	}
 	return transaction.respond()
@@ -235,6 +247,9 @@
 	}
 	permit, refusal := transaction.entry.Allowance.Spend(ctx, transaction.account)
 	transaction.permit = permit
+	if refusal != nil && refusal.Reason == balsamproxy.ReasonAllowanceUnreachable && isRecalled(ctx) {
+		return recalledRefusal()
+	}
 	if refusal != nil && transaction.objective() > 0 {
 		// A response to a later retry would miss its latency objective.
 		refusal.RetryAfter = min(refusal.RetryAfter, transaction.objective()/retryAfterDivisor)
@@ -303,11 +318,11 @@
 }
 
 // refuse returns the response for a refusal and logs the decision.
-func (transaction *transaction) refuse(ctx context.Context, stage string, refusal *balsamproxy.Refusal) http1.Response {
+func (transaction *transaction) refuse(stage string, refusal *balsamproxy.Refusal) http1.Response {
 	transaction.refusal = refusal
 	transaction.count("refused", string(refusal.Reason))
 	response := transaction.entry.refusal(transaction.caller.RequestID, refusal)
-	if ctx.Err() != nil && transaction.deadline.After(transaction.entry.Clock.Now()) {
+	if transaction.context.Err() != nil && transaction.deadline.After(transaction.entry.Clock.Now()) {
 		stage = "departed"
 	}
 	age, known := transaction.entry.Evidence.Age(transaction.entry.Boot.Boot())
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -79,7 +79,7 @@
 		if refusal != nil {
 			return transaction.finalRefusal(refusal)
 		}
-		response, refusal := transaction.attempt(ctx, endpoint, maxWait)
+		response, refusal := transaction.attempt(transaction.context, endpoint, maxWait)
 		if refusal == nil {
 			if transaction.shouldRetryResponse(ctx, response) {
 				continue
@@ -122,6 +122,9 @@
 	attempts := &transaction.attempts
 	start := entry.Clock.Now()
 	for {
+		if isRecalled(ctx) {
+			return membership.Endpoint{}, 0, recalledRefusal()
+		}
 		now := entry.Clock.Now()
 		if attempts.fullCount >= fullTargetsMax {
 			return transaction.chooseFullTarget()
@@ -134,7 +137,7 @@
 		if attempts.fullCount > 0 {
 			return transaction.chooseFullTarget()
 		}
-		if len(attempts.tried) > 0 || now.Sub(start) > noTargetTimeout || !task.Sleep(ctx, noTargetPollInterval) {
+		if len(attempts.tried) > 0 || now.Sub(start) > noTargetTimeout || !task.Sleep(ctx, noTargetPollInterval) && !isRecalled(ctx) {
 			refusal := balsamproxy.NotRun(balsamproxy.ReasonNoTarget, "no target of the service takes work")
 			refusal.RetryAfter = overloadedRetryAfter
 			return membership.Endpoint{}, 0, refusal
@@ -212,7 +215,11 @@
 	target := endpoint.Target.ID
 	transaction.attempts.tried = append(transaction.attempts.tried, target)
 	entry.Chooser.Begin(target, start)
-	call := balsamproxy.Call{Head: transaction.head(target, maxWait), Body: bytes.NewReader(transaction.request.Body)}
+	call := balsamproxy.Call{
+		Head:     transaction.head(target, maxWait),
+		Body:     bytes.NewReader(transaction.request.Body),
+		Recalled: transaction.recalled,
+	}
 	response, err := transaction.forward(ctx, endpoint.Host, call)
 	now := entry.Clock.Now()
 	if err != nil {
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -105,6 +105,7 @@
 	registry   *registry.Registry
 	spender    *lending.Spender
 	follower   *configFollower
+	entry      *entry.Entry
 	callers    *http1.Server
 
 	crashes crashes
@@ -269,7 +270,7 @@
 }
 
 func (daemon *Daemon) wireRequestPath() {
-	handler := &entry.Entry{
+	daemon.entry = &entry.Entry{
 		Host:      daemon.settings.Host,
 		Service:   func() balsamproxy.ServiceID { return *daemon.service.Load() },
 		Dialect:   daemon.platform.Dialect,
@@ -292,7 +293,7 @@
 		Crashes:    &daemon.crashes,
 		Throttle:   &throttle.Throttle{},
 	}
-	daemon.callers = &http1.Server{Handler: handler}
+	daemon.callers = &http1.Server{Handler: daemon.entry}
 }
 
 // status returns the status that this daemon sends to peers.
--- a/io/mesh/run.go
+++ b/io/mesh/run.go
@@ -11,6 +11,7 @@
 	"balsamproxy"
 	"balsamproxy/core/announced"
 	"balsamproxy/core/settings"
+	"balsamproxy/core/shutdown"
 	"balsamproxy/task"
 )
 
@@ -22,20 +23,9 @@
 	// recallTimeout bounds the wait for the stored record of the targets of this
 	// host at startup.
 	recallTimeout = 2 * time.Second
-	// peerServeFraction is the fraction of the shutdown grace during which calls
-	// of peers are still accepted, because the targets of this host have not
-	// left yet.
-	peerServeFraction = 0.2
 	// peerNoticePeriod is the time between the announcement to peers that this
 	// daemon leaves and the moment when it rejects their calls.
 	peerNoticePeriod = 200 * time.Millisecond
-	// acceptFraction is the fraction of the grace during which connections of
-	// callers are accepted. The platform sends callers elsewhere after two failed
-	// readiness probes, which are a second apart.
-	acceptFraction = 0.4
-	// finishFraction is the fraction of the grace after which requests still in
-	// progress are aborted.
-	finishFraction = 0.94
 	// stopTimeout bounds the wait for background tasks after that.
 	stopTimeout      = 150 * time.Millisecond
 	idlePollInterval = 20 * time.Millisecond
@@ -214,27 +204,28 @@
 }
 
 // shutDown stops the daemon gracefully: it announces the shutdown, keeps serving
-// until callers and peers have had time to notice, then waits for requests in
-// progress.
+// until callers and peers have had time to notice, refuses the requests that no
+// target has yet, and then waits for those in progress.
 func (running *running) shutDown(callers net.Listener) {
 	daemon := running.daemon
-	grace := time.Duration(daemon.settings.ShutdownGrace)
-	start := time.Now()
-	ctx, cancel := context.WithDeadline(running.context, start.Add(time.Duration(float64(grace)*finishFraction)))
+	plan := shutdown.Plan{Begin: time.Now(), Grace: time.Duration(daemon.settings.ShutdownGrace)}
+	ctx, cancel := context.WithDeadline(running.context, plan.Finish())
 	defer cancel()
 	daemon.leaving.Store(true)
 	daemon.log.Info().Str("event", "stopping").Int64("under-way", daemon.callers.InFlight()).Send()
 	daemon.callers.Drain()
 	daemon.registry.Leave(ctx)
-	task.Sleep(ctx, time.Until(start.Add(time.Duration(float64(grace)*peerServeFraction))))
+	task.Sleep(ctx, time.Until(plan.LeavePeers()))
 	daemon.closing.Store(true)
 	daemon.peerServer.Leave()
 	daemon.announce()
 	task.Sleep(ctx, peerNoticePeriod)
 	finished := daemon.peerServer.RefuseCalls()
-	task.Sleep(ctx, time.Until(start.Add(time.Duration(float64(grace)*acceptFraction))))
+	task.Sleep(ctx, time.Until(plan.LastSend()))
 	_ = callers.Close()
 	daemon.callers.CloseIdle()
+	daemon.entry.RecallRequests(plan)
+	daemon.peerServer.RecallCalls()
 	running.waitIdle(ctx)
 	select {
 	case <-finished:
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -139,6 +139,9 @@
 	if err != nil {
 		return nil, balsamproxy.NotRun(balsamproxy.ReasonBadRequest, "body ended early")
 	}
+	if call.IsRecalled() {
+		return nil, balsamproxy.RecalledRefusal()
+	}
 	stream, err := link.newStream()
 	if err != nil {
 		return nil, balsamproxy.NotRun(balsamproxy.ReasonPeerUnreachable, err.Error())
@@ -153,7 +156,7 @@
 	if !complete {
 		exchange.startBody(call.Body)
 	}
-	return exchange.awaitResponse()
+	return exchange.awaitResponse(call.Recalled)
 }
 
 func remainingTimeout(ctx context.Context, timeout time.Duration) time.Duration {
@@ -195,17 +198,24 @@
 	}
 }
 
-func (exchange *exchange) awaitResponse() (*balsamproxy.Response, error) {
-	select {
-	case head := <-exchange.stream.heads:
-		if head.Answer != nil {
-			return &balsamproxy.Response{Head: *head.Answer, Body: exchange}, nil
+// awaitResponse waits for the head of the response or a refusal. If the call is
+// recalled meanwhile, the peer decides, since it knows whether the target has it.
+func (exchange *exchange) awaitResponse(recalled <-chan struct{}) (*balsamproxy.Response, error) {
+	for {
+		select {
+		case head := <-exchange.stream.heads:
+			if head.Answer != nil {
+				return &balsamproxy.Response{Head: *head.Answer, Body: exchange}, nil
+			}
+			exchange.finish()
+			return nil, exchange.refusal(head)
+		case <-exchange.context.Done():
+			exchange.finish()
+			return nil, contextRefusal(exchange.context)
+		case <-recalled:
+			recalled = nil
+			_ = exchange.stream.link.send(&frame{Stream: exchange.stream.id, Recall: true})
 		}
-		exchange.finish()
-		return nil, exchange.refusal(head)
-	case <-exchange.context.Done():
-		exchange.finish()
-		return nil, contextRefusal(exchange.context)
 	}
 }
 
--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -38,6 +38,9 @@
 	Reply *reply `cbor:"11,keyasint,omitempty"`
 	// Status is the current status of the sender.
 	Status *balsamproxy.Status `cbor:"12,keyasint,omitempty"`
+	// Recall asks to refuse the call unless it has been sent to its target. A peer
+	// that does not know the field goes on with the call.
+	Recall bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Kind selects the handler of a question.
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -232,6 +232,15 @@
 	delete(link.streams, id)
 }
 
+// recallStreams recalls the calls that were received over the link.
+func (link *link) recallStreams() {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	for _, stream := range link.streams {
+		stream.recall()
+	}
+}
+
 func (link *link) streamCount() int {
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -133,6 +133,16 @@
 	return server.calls.Ended()
 }
 
+// RecallCalls refuses the calls in progress that have not been sent to their
+// targets.
+func (server *Server) RecallCalls() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for link := range server.links {
+		link.recallStreams()
+	}
+}
+
 // Close ends all links.
 func (server *Server) Close() {
 	server.mutex.Lock()
@@ -177,6 +187,10 @@
 		stream.fail(context.Canceled)
 		return nil
 	}
+	if frame.Recall {
+		stream.recall()
+		return nil
+	}
 	if frame.Credit > 0 {
 		stream.outbound.grant(frame.Credit)
 	}
@@ -187,6 +201,8 @@
 	stream := newStream(frame.Stream, link.link)
 	ctx, cancel := context.WithTimeout(ctx, frame.Call.Timeout)
 	stream.onCancel = cancel
+	recalled := make(chan struct{})
+	stream.onRecall = sync.OnceFunc(func() { close(recalled) })
 	if !link.addStream(stream) {
 		cancel()
 		return
@@ -195,7 +211,7 @@
 	if err := stream.inbound.receive(frame.Data, frame.End); err != nil {
 		stream.inbound.fail(err)
 	}
-	run := func(ctx context.Context) error { return link.serve(ctx, stream, head) }
+	run := func(ctx context.Context) error { return link.serve(ctx, stream, head, recalled) }
 	ended := func(error) {
 		cancel()
 		link.removeStream(stream.id)
@@ -207,8 +223,8 @@
 }
 
 // serve forwards one call to its target and sends the response to the peer.
-func (link *serverLink) serve(ctx context.Context, stream *stream, head balsamproxy.CallHead) error {
-	call := balsamproxy.Call{Head: head, Body: &bodyReader{stream: stream, context: ctx}}
+func (link *serverLink) serve(ctx context.Context, stream *stream, head balsamproxy.CallHead, recalled <-chan struct{}) error {
+	call := balsamproxy.Call{Head: head, Body: &bodyReader{stream: stream, context: ctx}, Recalled: recalled}
 	answer, err := link.server.Local.Forward(ctx, call)
 	if err != nil {
 		stream.sendRefusal(refusalOf(err))
--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -22,6 +22,9 @@
 	// onCancel is called when the stream fails or the peer cancels it; it may
 	// be nil.
 	onCancel context.CancelFunc
+	// onRecall recalls the call of the stream; nil if the stream carries none that
+	// was received.
+	onRecall func()
 
 	inbound  inbound
 	outbound outbound
@@ -73,6 +76,12 @@
 	}
 }
 
+func (stream *stream) recall() {
+	if stream.onRecall != nil {
+		stream.onRecall()
+	}
+}
+
 func (inbound *inbound) fail(err error) {
 	inbound.Lock()
 	defer inbound.Unlock()
--- a/io/target/delivery.go
+++ b/io/target/delivery.go
@@ -48,6 +48,9 @@
 
 // acquire waits for admission by the target's admission controller.
 func (delivery *delivery) acquire(ctx context.Context) *balsamproxy.Refusal {
+	if delivery.call.IsRecalled() {
+		return balsamproxy.RecalledRefusal()
+	}
 	local := delivery.local
 	now := local.Clock.Now()
 	head := delivery.call.Head
@@ -72,6 +75,9 @@
 	if verdicts != nil {
 		local.wakeUp()
 		verdict = delivery.wait(ctx, verdicts)
+		if verdict == admission.Expired && ctx.Err() == nil && delivery.call.IsRecalled() {
+			return balsamproxy.RecalledRefusal()
+		}
 	}
 	return delivery.refusalOf(verdict, load)
 }
@@ -96,13 +102,14 @@
 	}
 }
 
-// wait waits for the verdict. A call that is cancelled while queued has not run;
-// if it was admitted at the same time, it releases its slot.
+// wait waits for the verdict. A call that is cancelled or recalled while queued has
+// not run; if it was admitted at the same time, it releases its slot.
 func (delivery *delivery) wait(ctx context.Context, verdicts chan admission.Verdict) admission.Verdict {
 	select {
 	case verdict := <-verdicts:
 		return verdict
 	case <-ctx.Done():
+	case <-delivery.call.Recalled:
 	}
 	local := delivery.local
 	local.mutex.Lock()
