Planned stop: do not wait for the store

Cause: the stop first ended tenures and leases in the store, up to three calls of 1.5 s, before the steps that are planned for fixed times. Change: these calls are made beside the other steps and awaited last. Ruled out: the messages to peers, which are queued and never block.

--- a/io/mesh/run.go
+++ b/io/mesh/run.go
@@ -214,7 +214,11 @@
 	daemon.leaving.Store(true)
 	daemon.log.Info().Str("event", "stopping").Int64("under-way", daemon.callers.InFlight()).Send()
 	daemon.callers.Drain()
-	daemon.registry.Leave(ctx)
+	// The store may not respond, and the other steps do not depend on it.
+	left := task.Start(ctx, func(ctx context.Context) error {
+		daemon.registry.Leave(ctx)
+		return nil
+	})
 	task.Sleep(ctx, time.Until(plan.LeavePeers()))
 	daemon.closing.Store(true)
 	daemon.peerServer.Leave()
@@ -232,6 +236,7 @@
 	case <-ctx.Done():
 		daemon.log.Warn().Str("event", "calls-given-up").Send()
 	}
+	<-left //nolint:errcheck // it has no error, and ends with ctx
 	daemon.peerServer.Close()
 	daemon.callers.Close()
 }
