Links: a head that the peer cannot decode no longer ends the link

Callers saw: one request or response with bytes that are not UTF-8 in a field, more than 1,024 fields, or a field 5,000 times got 502, and with it all other requests between the two hosts, among them orders in progress. Cause: the sending daemon encodes any head, the receiving one rejected such frames and ended the link. Change: the decoder accepts any bytes as text, and its limits on elements exceed what fits into a head. The size of a message bounds the memory.

--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -67,8 +67,10 @@
 	// messageMax bounds the size of one WebSocket message.
 	messageMax = pendingMax + 1<<20
 
-	mapPairsMax     = 1024
-	arrayLengthMax  = 4096
+	// elementsMax bounds the pairs of a map and the elements of an array. It exceeds
+	// what fits into the longest head, so that no head ends a link; messageMax bounds
+	// the memory.
+	elementsMax     = 1 << 20
 	nestedLevelsMax = 8
 )
 
@@ -82,11 +84,13 @@
 func newCodec() codec {
 	encoder, _ := cbor.EncOptions{}.UserBufferEncMode()
 	decoder, _ := cbor.DecOptions{
-		MaxMapPairs:      mapPairsMax,
-		MaxArrayElements: arrayLengthMax,
+		MaxMapPairs:      elementsMax,
+		MaxArrayElements: elementsMax,
 		MaxNestedLevels:  nestedLevelsMax,
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
+		// Header values and paths may contain any bytes.
+		UTF8:        cbor.UTF8DecodeInvalid,
+		DupMapKey:   cbor.DupMapKeyEnforcedAPF,
+		IndefLength: cbor.IndefLengthForbidden,
 	}.DecMode()
 	return codec{encoder: encoder, decoder: decoder}
 }
