Links: bound the response to a handshake

Callers would see: a server at the address of a former host that sends a head without end makes the dialling daemon exceed its memory; it is killed with the requests of all its callers. Cause: the WebSocket client parses that response without a limit, until the dial times out after a second. Change: reads are bounded at 64 KiB until the handshake is done.

--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -211,11 +211,12 @@
 }
 
 func (pool *Pool) connect(ctx context.Context, member balsamproxy.Member) (*websocket.Conn, error) {
+	dial, finish := limitHandshake(&net.Dialer{Timeout: connectTimeout, Control: setTCPUserTimeout})
 	dialer := websocket.Dialer{
 		HandshakeTimeout: dialTimeout,
 		ReadBufferSize:   bufferBytes,
 		WriteBufferSize:  bufferBytes,
-		NetDialContext:   (&net.Dialer{Timeout: connectTimeout, Control: setTCPUserTimeout}).DialContext,
+		NetDialContext:   dial,
 	}
 	if pool.ShouldCompress != nil && pool.ShouldCompress(member) {
 		dialer.Subprotocols = []string{compressedProtocol}
@@ -230,6 +231,7 @@
 	if response != nil && response.Body != nil {
 		_ = response.Body.Close()
 	}
+	finish()
 	return conn, err
 }
 
