Planned stop: send no late request to a target, answer all that was read

Callers saw: a request received late in the grace was sent to a target and cut off at its end; requests sent ahead on a connection were cut off behind the next response although targets worked on them. Cause: closing the listener and idle connections was taken for the end of new requests; connections in use were not looked at. Change: once the listener closes, a request is sent only if it ends by its deadline within the grace, all others get a true 503. A stopping daemon closes a connection after the last request that it has read. Connections are accepted for 3 s at most.

--- a/core/shutdown/plan.go
+++ b/core/shutdown/plan.go
@@ -8,10 +8,11 @@
 	// are accepted, because the targets of this host have not left yet.
 	peerServeFraction = 0.2
 	// serveFraction is the fraction of the grace during which connections of
-	// callers are accepted and their requests sent to targets. The platform sends
-	// callers elsewhere after two failed readiness probes, which are a second
-	// apart. The rest of the grace is left for the responses.
-	serveFraction = 0.4
+	// callers are accepted and their requests sent to targets, for servePeriodMax at
+	// most. The platform sends callers elsewhere after two failed readiness probes,
+	// which are a second apart. The rest of the grace is left for the responses.
+	serveFraction  = 0.4
+	servePeriodMax = 3 * time.Second
 	// finishFraction is the fraction of the grace after which requests still in
 	// progress are aborted.
 	finishFraction = 0.94
@@ -29,11 +30,23 @@
 }
 
 // LeavePeers returns when peers are told to send no further calls.
-func (plan Plan) LeavePeers() time.Time { return plan.after(peerServeFraction) }
+func (plan Plan) LeavePeers() time.Time {
+	leave := plan.after(peerServeFraction)
+	if last := plan.LastSend(); last.Before(leave) {
+		return last
+	}
+	return leave
+}
 
 // LastSend returns when the daemon stops accepting connections and sending
 // requests to targets.
-func (plan Plan) LastSend() time.Time { return plan.after(serveFraction) }
+func (plan Plan) LastSend() time.Time {
+	last := plan.after(serveFraction)
+	if bound := plan.Begin.Add(servePeriodMax); bound.Before(last) {
+		return bound
+	}
+	return last
+}
 
 // Finish returns when requests still in progress are aborted.
 func (plan Plan) Finish() time.Time { return plan.after(finishFraction) }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -80,6 +80,7 @@
 	{"shape", (*transaction).validate},
 	{"route", (*transaction).findRoute},
 	{"account", (*transaction).authenticate},
+	{"stop", (*transaction).checkStop},
 	{"evidence", (*transaction).checkEvidence},
 	{"throttle", (*transaction).checkThrottle},
 	{"allowance", (*transaction).spendAllowance},
--- a/io/entry/stop.go
+++ b/io/entry/stop.go
@@ -18,11 +18,18 @@
 type inProgress struct {
 	mutex        sync.Mutex
 	transactions transactionSet
+	// stop is the plan of the planned stop that recalls requests, nil if there is
+	// none.
+	stop *shutdown.Plan
 }
 
+// add adds a transaction and recalls it if it began too late in a planned stop.
 func (inProgress *inProgress) add(transaction *transaction) {
 	inProgress.mutex.Lock()
 	defer inProgress.mutex.Unlock()
+	if inProgress.stop != nil && !inProgress.stop.MayBeSent(transaction.deadline) {
+		transaction.recall()
+	}
 	if inProgress.transactions == nil {
 		inProgress.transactions = transactionSet{}
 	}
@@ -36,11 +43,12 @@
 }
 
 // RecallRequests refuses the requests that wait for their allowance, for a target or
-// for admission by one, unless the plan lets them be sent. Requests that a target has
-// go on.
+// for admission by one, and those that begin from now on, unless the plan lets them be
+// sent. Requests that a target has go on.
 func (entry *Entry) RecallRequests(plan shutdown.Plan) {
 	entry.inProgress.mutex.Lock()
 	defer entry.inProgress.mutex.Unlock()
+	entry.inProgress.stop = &plan
 	for transaction := range entry.inProgress.transactions {
 		if !plan.MayBeSent(transaction.deadline) {
 			transaction.recall()
@@ -66,6 +74,14 @@
 	return errors.Is(context.Cause(waiting), errStopping)
 }
 
+// checkStop refuses a request that begins too late in a planned stop.
+func (*transaction) checkStop(waiting context.Context) *balsamproxy.Refusal {
+	if isRecalled(waiting) {
+		return recalledRefusal()
+	}
+	return nil
+}
+
 // recalledRefusal returns the refusal of a recalled request. Another daemon can
 // serve the caller at once.
 func recalledRefusal() *balsamproxy.Refusal {
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -92,6 +92,9 @@
 		if next.request != nil {
 			connection.start(ctx, next)
 		}
+		if connection.server.draining.Load() {
+			next.closeAfter = true
+		}
 		connection.pending <- next
 		previous = next
 		if next.closeAfter {
@@ -110,6 +113,13 @@
 	return connection.inFlight.Add(1) > 0
 }
 
+// endAfterLast prevents further requests from beginning if only one is in flight, whose
+// response is then the last one. Requests in flight behind it may have reached a target,
+// so the connection must not close before they are answered.
+func (connection *connection) endAfterLast() bool {
+	return connection.inFlight.CompareAndSwap(1, closedWhileIdle+1)
+}
+
 // closeIdle closes the connection unless a request is in flight. It reports
 // whether it closed the connection.
 func (connection *connection) closeIdle() bool {
@@ -186,7 +196,7 @@
 		response := <-next.response
 		switch {
 		case writeErr == nil && ctx.Err() == nil && !connection.closing.Load():
-			closeAfter := next.closeAfter || connection.server.draining.Load()
+			closeAfter := next.closeAfter || connection.server.draining.Load() && connection.endAfterLast()
 			writeErr = connection.writeResponse(next, response, closeAfter)
 			if writeErr != nil {
 				_ = connection.conn.Close()
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -162,7 +162,8 @@
 	delete(server.connections, connection)
 }
 
-// Drain makes each connection close after its next response.
+// Drain makes each connection close after the response to the last request that it has
+// read.
 func (server *Server) Drain() { server.draining.Store(true) }
 
 // CloseIdle closes the connections on which no request is in flight.
--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -217,6 +217,28 @@
 	assert.ErrorIs(t, err, io.EOF)
 }
 
+// TestLeavingAnswersAllThatWasRead guards against closing a connection after the next
+// response while requests behind it, which a target may be working on, are in flight.
+func TestLeavingAnswersAllThatWasRead(t *testing.T) {
+	release := map[string]chan struct{}{"/first": make(chan struct{}), "/second": make(chan struct{})}
+	server, handler, conn := start(t, release)
+	_, err := io.WriteString(conn, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	<-handler.started
+	<-handler.started
+	server.Drain()
+	server.CloseIdle()
+	reader := bufio.NewReader(conn)
+	for _, path := range []string{"/first", "/second"} {
+		close(release[path])
+		got := read(t, reader)
+		assert.Equal(t, got.body, "GET "+path+" ")
+		assert.Equal(t, got.last, path == "/second")
+	}
+	_, err = reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
 func TestIdleConnectionsCloseWhenTold(t *testing.T) {
 	server, _, conn := start(t, nil)
 	_, err := io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/io/mesh/run.go
+++ b/io/mesh/run.go
@@ -226,10 +226,10 @@
 	task.Sleep(ctx, peerNoticePeriod)
 	finished := daemon.peerServer.RefuseCalls()
 	task.Sleep(ctx, time.Until(plan.LastSend()))
-	_ = callers.Close()
-	daemon.callers.CloseIdle()
 	daemon.entry.RecallRequests(plan)
 	daemon.peerServer.RecallCalls()
+	_ = callers.Close()
+	daemon.callers.CloseIdle()
 	running.waitIdle(ctx)
 	select {
 	case <-finished:
