Announcements: reject those that name no usable target

Callers would see: after one announcement of another writer with an id that is not UTF-8, no link to that host stays up; after one with a port out of range, or a withdrawal with a start time in the far future, a good target is lost (503). After a restart, one odd stored record made the daemon forget all targets of its host, also those that were leaving. Cause: only the presence of fields was checked; the stored list was decoded as a whole. Change: core/announced checks ids, start times, addresses, services and slots. Stored records are checked one by one. Host records need a port number. Ruled out: records in the store that are nested deeply, out of range or no JSON (TestOddRecords held before). Result: TestOddAnnouncements failed before in all 13 cases (in 2 of them because of what the others had broken) and passed after, with the race detector.

--- a/core/announced/table.go
+++ b/core/announced/table.go
@@ -57,6 +57,9 @@
 // has changed. The error gives the reason if the announcement is ignored.
 func (table *Table) Announce(announcement balsamproxy.Announcement, now time.Time) (bool, error) {
 	id := announcement.Target.ID
+	if err := errors.Join(validateStart(id, announcement.Born, now), validateTarget(announcement.Target)); err != nil {
+		return false, err
+	}
 	existing, found := table.records[id]
 	if found && announcement.Born < existing.announcement.Born {
 		return false, ErrStale
@@ -120,6 +123,9 @@
 // incarnations started until now, since an announcement may still be in
 // transit.
 func (table *Table) Withdraw(id balsamproxy.TargetID, born int64, now time.Time) (bool, error) {
+	if err := validateStart(id, born, now); err != nil {
+		return false, err
+	}
 	existing, found := table.records[id]
 	if !found {
 		if born == 0 {
--- a/io/mesh/run.go
+++ b/io/mesh/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -154,10 +153,9 @@
 		if value == nil {
 			return
 		}
-		var records []announced.Record
-		if err := json.Unmarshal(value, &records); err != nil {
+		records, err := announced.ParseRecords(value, daemon.clock.Now())
+		if err != nil {
 			daemon.log.Error().Str("event", "record-invalid").Str("record", "targets").Err(err).Send()
-			return
 		}
 		daemon.local.Restore(records)
 		return
--- a/io/registry/list.go
+++ b/io/registry/list.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"slices"
 	"strconv"
 	"strings"
@@ -179,7 +180,7 @@
 	registry.unheld = unheldGroups
 }
 
-var errInvalidRecord = errors.New("registry: host record names another host or has no peer address")
+var errInvalidRecord = errors.New("registry: host record names another host or has no valid peer address")
 
 func (registry *Registry) classify(
 	entry balsamproxy.StoreEntry,
@@ -193,7 +194,7 @@
 		if err := json.Unmarshal(entry.Value, &member); err != nil {
 			return err
 		}
-		if member.Host != hostFromKey(entry.Key, registry.hostsPrefix()) || member.PeerAddress == "" {
+		if member.Host != hostFromKey(entry.Key, registry.hostsPrefix()) || !validAddress(member.PeerAddress) {
 			return errInvalidRecord
 		}
 		members[member.Host] = member
@@ -221,6 +222,13 @@
 	return nil
 }
 
+// validAddress reports whether an address consists of a host and a port number.
+func validAddress(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	return err == nil && portErr == nil && host != "" && number > 0
+}
+
 func groupFromKey(key, prefix balsamproxy.StoreKey) (allowance.Group, error) {
 	group, err := strconv.Atoi(strings.TrimPrefix(string(key), string(prefix)))
 	return allowance.Group(group), err
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -64,8 +65,8 @@
 	cold bool
 }
 
-// Announce applies an announcement. One that the table rejects, such as an
-// outdated one, is logged and ignored.
+// Announce applies an announcement. An outdated one is logged and ignored. The error
+// wraps announced.ErrInvalid if the announcement names no usable target.
 func (local *Local) Announce(announcement balsamproxy.Announcement) error {
 	now := local.Clock.Now()
 	local.mutex.Lock()
@@ -74,6 +75,9 @@
 		local.updateSlotsLocked(announcement.Target.ID, now)
 	}
 	local.mutex.Unlock()
+	if errors.Is(err, announced.ErrInvalid) {
+		return err
+	}
 	if err != nil {
 		local.Log.Info().Str("event", "announcement-ignored").Str("target", string(announcement.Target.ID)).
 			Int64("born", announcement.Born).Int64("sequence", announcement.Sequence).Err(err).Send()
@@ -89,11 +93,15 @@
 	return nil
 }
 
-// Withdraw removes a target that shuts down.
+// Withdraw removes a target that shuts down. The error wraps announced.ErrInvalid if
+// the announcement names no target.
 func (local *Local) Withdraw(target balsamproxy.TargetID, born int64) error {
 	local.mutex.Lock()
 	changed, err := local.table.Withdraw(target, born, local.Clock.Now())
 	local.mutex.Unlock()
+	if errors.Is(err, announced.ErrInvalid) {
+		return err
+	}
 	event := local.Log.Info().Str("event", "target-withdrawn").Str("target", string(target)).Int64("born", born)
 	if err != nil {
 		event.Err(err).Send()
