Entry: receive the whole body of a response from another host

Callers saw: answers of more than 64 KiB of a target beside another host ended with a connection reset. Cause: the context of a request was cancelled when its handler returned, while the rest of the body is received from the other host after that. Change: the context ends when the body is closed. Result: TestLargeAnswersArriveWhole failed with 70 KB and 3 MB before and passed after.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -115,11 +115,11 @@
 	attempts   attempts
 }
 
-// Handle processes one request.
+// Handle processes one request. Its context ends when the body of the response is
+// closed, because the body is still being received from the host of the target.
 func (entry *Entry) Handle(ctx context.Context, request *http1.Request) http1.Response {
 	transaction := &transaction{entry: entry, request: request}
 	ctx, cancel := transaction.withDeadline(ctx)
-	defer cancel()
 	transaction.context = ctx
 	waiting, release := transaction.withRecall(ctx)
 	defer release()
@@ -130,9 +130,22 @@
 		entry.CallFailed(transaction.congestion())
 	}
 	transaction.recordOutcome()
+	response.Body = &responseBody{ReadCloser: response.Body, end: cancel}
 	return response
 }
 
+// responseBody calls end when it is closed.
+type responseBody struct {
+	io.ReadCloser
+	end func()
+}
+
+// Close closes the body.
+func (body *responseBody) Close() error {
+	defer body.end()
+	return body.ReadCloser.Close()
+}
+
 // runStages runs all stages and returns the response.
 func (transaction *transaction) runStages(waiting context.Context) http1.Response {
 	for _, stage := range stages {
