--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -60,8 +60,29 @@
 	answers     httpresponse.Writer
 	leaving     atomic.Bool
 	connections connections
+	recall      recall
 }
 
+// recall is a signal to all requests. The zero value has not been sent.
+type recall struct {
+	mutex sync.Mutex
+	sent  chan struct{}
+}
+
+// channel returns the channel that is closed when the signal is sent.
+func (recall *recall) channel() chan struct{} {
+	recall.mutex.Lock()
+	defer recall.mutex.Unlock()
+	if recall.sent == nil {
+		recall.sent = make(chan struct{})
+	}
+	return recall.sent
+}
+
+// RecallRequests refuses the requests that no target has received, and all later ones.
+// It is called once.
+func (handler *Handler) RecallRequests() { close(handler.recall.channel()) }
+
 // Leave closes each connection after its next response, by a Connection header.
 func (handler *Handler) Leave() { handler.leaving.Store(true) }
 
@@ -201,6 +222,7 @@
 		Head:       run.head(match),
 		Body:       run.body,
 		Idempotent: match.route.Idempotent,
+		Recalled:   handler.recall.channel(),
 	})
 	if err != nil {
 		handler.RetryLimiter.Close(run.id)
--- a/io/daemon/running.go
+++ b/io/daemon/running.go
@@ -18,6 +18,9 @@
 	// callerNoticePeriod is the time between the announcement of the shutdown
 	// and the close of the callers' listener.
 	callerNoticePeriod = 2 * time.Second
+	// sendFraction is the fraction of the grace after which requests that no target has
+	// received are refused. The rest is left for the responses.
+	sendFraction = 0.5
 )
 
 // running is a started daemon.
@@ -103,6 +106,7 @@
 	grace, cancel := context.WithTimeout(running.context, daemon.settings.ShutdownGraceDuration())
 	defer cancel()
 	running.announceShutdown()
+	recalled := task.Start(grace, running.recallRequests)
 	sleep(grace, peerNoticePeriod)
 	finished := daemon.peerServer.RefuseCalls()
 	sleep(grace, callerNoticePeriod-peerNoticePeriod)
@@ -112,6 +116,8 @@
 	case <-grace.Done():
 	}
 	_ = running.targets.Shutdown(grace)
+	cancel()
+	<-recalled //nolint:errcheck // it has no error
 	daemon.peerServer.Close()
 	running.stop()
 	_ = running.peers.Close()
@@ -121,6 +127,16 @@
 	<-running.tasks.Ended()
 }
 
+// recallRequests refuses the requests that no target has received by sendFraction of the
+// grace, because they could not be answered before its end.
+func (running *running) recallRequests(ctx context.Context) error {
+	if task.Sleep(ctx, time.Duration(float64(running.daemon.settings.ShutdownGraceDuration())*sendFraction)) {
+		running.daemon.callers.RecallRequests()
+		running.daemon.peerServer.RecallCalls()
+	}
+	return nil
+}
+
 // drainCallers stops accepting connections and closes each open one after its
 // next response. The listener is closed first: while it is open, callers whose
 // connections are closed would reconnect, and connections still in the accept
--- a/io/fleet/dispatcher.go
+++ b/io/fleet/dispatcher.go
@@ -53,6 +53,9 @@
 	Head       balsamproxy.CallHead
 	Body       *Body
 	Idempotent bool
+	// Recalled is closed when the call is to be refused unless it has been sent to a
+	// target. If nil, the call is never recalled.
+	Recalled <-chan struct{}
 }
 
 // Dispatch sends a call and returns the response, whose body the caller must
@@ -121,7 +124,10 @@
 	attempts.tried = append(attempts.tried, endpoint.Target.ID)
 	head := attempts.request.Head
 	head.Target = endpoint.Target.ID
-	call := balsamproxy.Call{Head: head, Body: attempts.body.reader()}
+	call := balsamproxy.Call{Head: head, Body: attempts.body.reader(), Recalled: attempts.request.Recalled}
+	if call.IsRecalled() {
+		return nil, balsamproxy.RecalledRefusal()
+	}
 	dispatcher.Metrics.Counter("attempts").Inc(1)
 	return dispatcher.send(ctx, endpoint, call)
 }
@@ -181,7 +187,8 @@
 	if ctx.Err() != nil || !attempts.body.replayable() {
 		return false
 	}
-	if !retry.Retryable(refusal, attempts.request.Idempotent) {
+	call := balsamproxy.Call{Recalled: attempts.request.Recalled}
+	if call.IsRecalled() || !retry.Retryable(refusal, attempts.request.Idempotent) {
 		return false
 	}
 	head := attempts.request.Head
--- a/io/target/forwarder.go
+++ b/io/target/forwarder.go
@@ -50,7 +50,7 @@
 	if !found {
 		return nil, balsamproxy.NotRun(balsamproxy.ReasonDraining, "no such target here: "+string(call.Head.Target))
 	}
-	if err := limited.acquire(ctx, call.Head); err != nil {
+	if err := limited.acquire(ctx, call); err != nil {
 		return nil, err
 	}
 	begin := forwarder.Clock.Now()
--- a/io/target/limited_target.go
+++ b/io/target/limited_target.go
@@ -85,13 +85,19 @@
 
 // acquire waits until the call may be sent to the target. Any error is a refusal
 // of a call that has not run.
-func (limited *limitedTarget) acquire(ctx context.Context, head balsamproxy.CallHead) error {
-	ticket, verdict, verdicts, err := limited.tryAcquire(ctx, head)
+func (limited *limitedTarget) acquire(ctx context.Context, call balsamproxy.Call) error {
+	if call.IsRecalled() {
+		return balsamproxy.RecalledRefusal()
+	}
+	ticket, verdict, verdicts, err := limited.tryAcquire(ctx, call.Head)
 	if err != nil {
 		return err
 	}
 	if verdict == limit.Waiting {
-		verdict = limited.wait(ctx, ticket, verdicts)
+		verdict = limited.wait(ctx, ticket, verdicts, call.Recalled)
+		if verdict == limit.Expired && ctx.Err() == nil && call.IsRecalled() {
+			return balsamproxy.RecalledRefusal()
+		}
 	}
 	return limited.refusal(ctx, verdict)
 }
@@ -131,11 +137,12 @@
 	}
 }
 
-func (limited *limitedTarget) wait(ctx context.Context, ticket limit.Ticket, verdicts <-chan limit.Verdict) limit.Verdict {
+func (limited *limitedTarget) wait(ctx context.Context, ticket limit.Ticket, verdicts <-chan limit.Verdict, recalled <-chan struct{}) limit.Verdict {
 	select {
 	case verdict := <-verdicts:
 		return verdict
 	case <-ctx.Done():
+	case <-recalled:
 	}
 	limited.mutex.Lock()
 	defer limited.mutex.Unlock()
--- a/proofs/path_test.go
+++ b/proofs/path_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -249,3 +251,53 @@
 		return poll.Continue("%s has not logged %q %d times", daemon.settings.Host, text, times)
 	}, poll.WithTimeout(waitTimeout), poll.WithDelay(10*time.Millisecond))
 }
+
+// TestPlannedStopRefusesWaitingRequests guards against a graceful shutdown that cuts
+// off requests which wait for a full target until the grace is over. They have not run,
+// so their callers must be told.
+func TestPlannedStopRefusesWaitingRequests(t *testing.T) {
+	const requests = 12
+	fleet := newFleet(t, 2)
+	stopping := fleet.newDaemon(2)
+	stopping.settings.ShutdownGraceMS = 4000
+	data, err := json.Marshal(stopping.settings)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(stopping.settingsFile, data, 0o600))
+	fleet.daemons = append(fleet.daemons, stopping)
+	fleet.start()
+	fleet.applyConfig(fleet.daemons[0], document(goodSecret))
+	target := fleet.startTargetWithOptions(fleet.daemons[0], service.Options{
+		Target: balsamproxy.Target{Service: "venues", Slots: 8, Connections: 10},
+	})
+	fleet.awaitStatus(stopping, "GET", "/venues/1", http.StatusOK)
+	blocked := make(chan struct{})
+	t.Cleanup(sync.OnceFunc(func() { close(blocked) }))
+	var ran sync.Map
+	target.Hook(func(_ http.ResponseWriter, request *http.Request) {
+		ran.Store(request.URL.Path, true)
+		<-blocked
+	})
+	waiting := make(chan clientResponse, requests)
+	for index := range requests {
+		go func() {
+			path := fmt.Sprintf("/venues/wait-%d", index)
+			response := fleet.send(stopping, "GET", path)
+			if _, began := ran.Load(path); !began {
+				waiting <- response
+			}
+		}()
+	}
+	fleet.await(func() (bool, string) {
+		began := 0
+		ran.Range(func(any, any) bool { began++; return true })
+		return began > 0, "no request has reached the target"
+	})
+	stopping.signal(t, syscall.SIGTERM)
+	// Requests that the full queue refuses are answered before.
+	for recalled := false; !recalled; {
+		response := <-waiting
+		assert.NilError(t, response.err)
+		assert.Equal(t, response.status, http.StatusServiceUnavailable, string(response.body))
+		recalled = strings.Contains(string(response.body), string(balsamproxy.ReasonShuttingDown))
+	}
+}
