--- a/core/announced/table.go
+++ b/core/announced/table.go
@@ -57,20 +57,14 @@
 // has changed. The error gives the reason if the announcement is ignored.
 func (table *Table) Announce(announcement balsamproxy.Announcement, now time.Time) (bool, error) {
 	id := announcement.Target.ID
-	if err := errors.Join(validateStart(id, announcement.Born, now), validateTarget(announcement.Target)); err != nil {
+	if err := validate(announcement, now); err != nil {
 		return false, err
 	}
 	existing, found := table.records[id]
-	if found && announcement.Born < existing.announcement.Born {
-		return false, ErrStale
-	}
 	restarted := found && announcement.Born > existing.announcement.Born
 	if found && !restarted {
-		if existing.withdrawn {
-			return false, ErrWithdrawn
-		}
-		if announcement.Sequence <= existing.announcement.Sequence {
-			return false, ErrStale
+		if err := existing.supersedes(announcement); err != nil {
+			return false, err
 		}
 	}
 	if table.replaced(announcement) {
@@ -90,6 +84,21 @@
 	return before != table.state(id), nil
 }
 
+// supersedes returns why an announcement that is not of a later start is ignored, or nil
+// if it is the latest one.
+func (record *record) supersedes(announcement balsamproxy.Announcement) error {
+	switch {
+	case announcement.Born < record.announcement.Born:
+		return ErrStale
+	case record.withdrawn:
+		return ErrWithdrawn
+	case announcement.Sequence <= record.announcement.Sequence:
+		return ErrStale
+	default:
+		return nil
+	}
+}
+
 func (table *Table) put(id balsamproxy.TargetID, existing *record) {
 	if table.records == nil {
 		table.records = map[balsamproxy.TargetID]*record{}
--- a/core/announced/validate.go
+++ b/core/announced/validate.go
@@ -22,6 +22,10 @@
 // changed by it.
 var ErrInvalid = errors.New("announced: no usable target")
 
+func validate(announcement balsamproxy.Announcement, now time.Time) error {
+	return errors.Join(validateStart(announcement.Target.ID, announcement.Born, now), validateTarget(announcement.Target))
+}
+
 // validateStart checks what every announcement has: the id, which is sent in header
 // fields, and the start time in Unix milliseconds.
 func validateStart(id balsamproxy.TargetID, born int64, now time.Time) error {
