--- a/io/entry/stop.go
+++ b/io/entry/stop.go
@@ -44,16 +44,20 @@
 
 // RecallRequests refuses the requests that wait for their allowance, for a target or
 // for admission by one, and those that begin from now on, unless the plan lets them be
-// sent. Requests that a target has go on.
-func (entry *Entry) RecallRequests(plan shutdown.Plan) {
+// sent. Requests that a target has go on. It returns how many were in progress and
+// recalled.
+func (entry *Entry) RecallRequests(plan shutdown.Plan) int {
 	entry.inProgress.mutex.Lock()
 	defer entry.inProgress.mutex.Unlock()
 	entry.inProgress.stop = &plan
+	recalled := 0
 	for transaction := range entry.inProgress.transactions {
 		if !plan.MayBeSent(transaction.deadline) {
 			transaction.recall()
+			recalled++
 		}
 	}
+	return recalled
 }
 
 // withRecall returns a context that is cancelled when the request is recalled. It
