Store of the older daemon: bound a message of a watch

Callers would see: a store that sends a message without end makes a daemon exceed its memory, and it ends with the requests of all its callers. Cause: the decoder of the watch keeps one message whole and had no limit. Change: a message has 64 MiB at most, like other responses of that store.

--- a/io/etcd/client_test.go
+++ b/io/etcd/client_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -105,3 +109,23 @@
 	_, err = client.Revisions(ctx, "/k")
 	assert.ErrorIs(t, err, balsamproxy.ErrStoreUnavailable)
 }
+
+// TestEndlessWatch guards against a store that sends one message without end on a watch:
+// all of it would be kept.
+func TestEndlessWatch(t *testing.T) {
+	const memoryMax = 128 << 20
+	var written atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		part := `{"result":{"events":"`
+		for err := error(nil); err == nil && written.Load() < 4*memoryMax; part = strings.Repeat("x", 64<<10) {
+			var count int
+			count, err = io.WriteString(writer, part)
+			written.Add(int64(count))
+		}
+	}))
+	defer server.Close()
+	client := &etcd.Client{Addresses: []string{server.URL}, HTTP: server.Client()}
+	err := client.Watch(t.Context(), "/k", 1, nil)
+	assert.ErrorIs(t, err, balsamproxy.ErrStoreUnavailable)
+	assert.Assert(t, written.Load() <= memoryMax, "%d bytes were read", written.Load())
+}
--- a/io/etcd/watch.go
+++ b/io/etcd/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 
 	"github.com/rotisserie/eris"
 
@@ -30,9 +31,12 @@
 		return readError(err)
 	}
 	defer closeBody(body)
-	decoder := json.NewDecoder(body)
+	// The decoder keeps one message whole, and the stream has no end.
+	limited := &io.LimitedReader{R: body}
+	decoder := json.NewDecoder(limited)
 	for {
 		var response watchResponse
+		limited.N = responseMax
 		if err := decoder.Decode(&response); err != nil {
 			next()
 			return eris.Wrap(balsamproxy.ErrStoreUnavailable, err.Error())
