--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -134,18 +134,6 @@
 	return response
 }
 
-// responseBody calls end when it is closed.
-type responseBody struct {
-	io.ReadCloser
-	end func()
-}
-
-// Close closes the body.
-func (body *responseBody) Close() error {
-	defer body.end()
-	return body.ReadCloser.Close()
-}
-
 // runStages runs all stages and returns the response.
 func (transaction *transaction) runStages(waiting context.Context) http1.Response {
 	for _, stage := range stages {
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -137,11 +137,12 @@
 		if attempts.fullCount > 0 {
 			return transaction.chooseFullTarget()
 		}
-		if len(attempts.tried) > 0 || now.Sub(start) > noTargetTimeout || !task.Sleep(ctx, noTargetPollInterval) && !isRecalled(ctx) {
+		if len(attempts.tried) > 0 || now.Sub(start) > noTargetTimeout || ctx.Err() != nil {
 			refusal := balsamproxy.NotRun(balsamproxy.ReasonNoTarget, "no target of the service takes work")
 			refusal.RetryAfter = overloadedRetryAfter
 			return membership.Endpoint{}, 0, refusal
 		}
+		task.Sleep(ctx, noTargetPollInterval)
 	}
 }
 
