Planned stop: answer requests that arrive while idle connections close

Cause: when the listener closed, each connection without a request in flight was closed at once, also one whose first request had not been read yet.

Each failed connection had read no request and ended as idle. Ruled out: requests cut off at the end of the grace, a stop that waits for the store.

Change: idle connections stay open for another 300 ms, requests that arrive are answered, and a connection closes only after a last look for received bytes. The stop waits for the end of all connections in place of polling the count of requests. TestCloseIdleOrBegin checked that a close excludes a request; now one goroutine decides both, so it checks the outcome, with one case more. What it checked of the last response is TestNoRequestAfterTheLastResponse.

--- a/core/shutdown/plan.go
+++ b/core/shutdown/plan.go
@@ -13,6 +13,9 @@
 	// which are a second apart. The rest of the grace is left for the responses.
 	serveFraction  = 0.4
 	servePeriodMax = 3 * time.Second
+	// arrivalPeriod is how long an idle connection stays open after the last one has
+	// been accepted: its caller may have sent a request just before.
+	arrivalPeriod = 300 * time.Millisecond
 	// finishFraction is the fraction of the grace after which requests still in
 	// progress are aborted.
 	finishFraction = 0.94
@@ -48,6 +51,15 @@
 	return last
 }
 
+// CloseIdle returns when the connections that are idle by then are closed.
+func (plan Plan) CloseIdle() time.Time {
+	closeIdle := plan.LastSend().Add(arrivalPeriod)
+	if finish := plan.Finish(); finish.Before(closeIdle) {
+		return finish
+	}
+	return closeIdle
+}
+
 // Finish returns when requests still in progress are aborted.
 func (plan Plan) Finish() time.Time { return plan.after(finishFraction) }
 
--- a/core/shutdown/plan_test.go
+++ b/core/shutdown/plan_test.go
@@ -31,10 +31,11 @@
 }
 
 func TestStepsAreInOrder(t *testing.T) {
-	for _, grace := range []time.Duration{time.Second, 6 * time.Second, 10 * time.Second, time.Minute} {
+	for _, grace := range []time.Duration{200 * time.Millisecond, time.Second, 6 * time.Second, 10 * time.Second, time.Minute} {
 		plan := shutdown.Plan{Begin: time.Unix(1000, 0), Grace: grace}
 		assert.Assert(t, !plan.LeavePeers().After(plan.LastSend()), "grace %v", grace)
-		assert.Assert(t, plan.LastSend().Before(plan.Finish()), "grace %v", grace)
+		assert.Assert(t, plan.LastSend().Before(plan.CloseIdle()), "grace %v", grace)
+		assert.Assert(t, !plan.CloseIdle().After(plan.Finish()), "grace %v", grace)
 		assert.Assert(t, plan.Finish().Before(plan.Begin.Add(grace)), "grace %v", grace)
 	}
 }
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,11 @@
 	inFlight atomic.Int64
 	// closing is set once no further request will be served.
 	closing atomic.Bool
+	// idleMutex guards the read deadline while no request is in flight.
+	idleMutex sync.Mutex
+	// closeIdleAt is when the connection closes if it is idle, zero if only the idle
+	// timeout closes it.
+	closeIdleAt time.Time
 }
 
 // pending is one request whose response has not been written yet.
@@ -103,42 +109,59 @@
 	}
 }
 
-// closedWhileIdle is the inFlight count of a connection that was closed while
-// idle. It is negative, so that no request can begin afterwards.
-const closedWhileIdle = -1 << 32
+// closedAfterLast is the inFlight count of a connection whose last response has been
+// chosen. It is negative, so that no request can begin afterwards.
+const closedAfterLast = -1 << 32
 
-// beginRequest counts one more request in flight. It returns false if the
-// connection was closed while idle; the request must then not be read.
+// beginRequest counts one more request in flight. It returns false if the response
+// being written is the last one; the request must then not be read.
 func (connection *connection) beginRequest() bool {
+	connection.idleMutex.Lock()
+	defer connection.idleMutex.Unlock()
 	return connection.inFlight.Add(1) > 0
 }
 
+// endRequest counts one request less in flight.
+func (connection *connection) endRequest() {
+	connection.idleMutex.Lock()
+	defer connection.idleMutex.Unlock()
+	if connection.inFlight.Add(-1) == 0 && !connection.closing.Load() {
+		connection.setIdleDeadline()
+	}
+}
+
 // endAfterLast prevents further requests from beginning if only one is in flight, whose
 // response is then the last one. Requests in flight behind it may have reached a target,
 // so the connection must not close before they are answered.
 func (connection *connection) endAfterLast() bool {
-	return connection.inFlight.CompareAndSwap(1, closedWhileIdle+1)
+	return connection.inFlight.CompareAndSwap(1, closedAfterLast+1)
 }
 
-// closeIdle closes the connection unless a request is in flight. It reports
-// whether it closed the connection.
-func (connection *connection) closeIdle() bool {
-	if !connection.inFlight.CompareAndSwap(0, closedWhileIdle) {
-		return false
+// closeIdle closes the connection at the given time unless a request has arrived by
+// then.
+func (connection *connection) closeIdle(at time.Time) {
+	connection.idleMutex.Lock()
+	defer connection.idleMutex.Unlock()
+	connection.closeIdleAt = at
+	if connection.inFlight.Load() == 0 {
+		connection.setIdleDeadline()
 	}
-	connection.stopReading()
-	return true
+}
+
+// setIdleDeadline limits the wait for the next request of an idle connection.
+func (connection *connection) setIdleDeadline() {
+	deadline := time.Now().Add(connection.idleTimeout())
+	if closeAt := connection.closeIdleAt; !closeAt.IsZero() && closeAt.Before(deadline) {
+		deadline = closeAt
+	}
+	_ = connection.conn.SetReadDeadline(deadline)
 }
 
 // awaitRequest waits for the first byte of the next request.
 func (connection *connection) awaitRequest() error {
 	connection.limited.removeLimit()
 	for {
-		deadline := time.Time{}
-		if connection.inFlight.Load() == 0 {
-			deadline = time.Now().Add(connection.idleTimeout())
-		}
-		_ = connection.conn.SetReadDeadline(deadline)
+		connection.setAwaitDeadline()
 		if connection.closing.Load() {
 			return errClosing
 		}
@@ -149,12 +172,36 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
-		if connection.closing.Load() || connection.inFlight.Load() <= 0 {
+		if connection.closing.Load() {
 			return errClosing
 		}
+		if connection.inFlight.Load() <= 0 {
+			return connection.peekReceived()
+		}
 	}
 }
 
+// setAwaitDeadline limits the wait for the next request unless requests are in flight.
+func (connection *connection) setAwaitDeadline() {
+	connection.idleMutex.Lock()
+	defer connection.idleMutex.Unlock()
+	if connection.inFlight.Load() == 0 {
+		connection.setIdleDeadline()
+		return
+	}
+	_ = connection.conn.SetReadDeadline(time.Time{})
+}
+
+// peekReceived returns errClosing unless the first byte of a request has been received.
+// A daemon that lacks processor time may notice the deadline before the request.
+func (connection *connection) peekReceived() error {
+	_ = connection.conn.SetReadDeadline(time.Now().Add(receivedTimeout))
+	if _, err := connection.reader.Peek(1); err != nil {
+		return errClosing
+	}
+	return nil
+}
+
 func (connection *connection) idleTimeout() time.Duration {
 	return connection.server.Handler.Limits().withDefaults().IdleTimeout
 }
@@ -210,9 +257,7 @@
 		}
 		close(next.done)
 		connection.server.inFlight.Add(-1)
-		if connection.inFlight.Add(-1) == 0 && !connection.closing.Load() {
-			_ = connection.conn.SetReadDeadline(time.Now().Add(connection.idleTimeout()))
-		}
+		connection.endRequest()
 	}
 	return writeErr
 }
--- a/io/http1/connection_test.go
+++ b/io/http1/connection_test.go
@@ -1,8 +1,10 @@
 package http1
 
 import (
+	"io"
 	"net"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -12,27 +14,65 @@
 // response, or the request is not read.
 func TestCloseIdleOrBegin(t *testing.T) {
 	cases := map[string]struct {
-		closeFirst, closed, begun bool
+		received, closeFirst bool
+		want                 error
 	}{
-		"request first": {false, false, true},
-		"close first":   {true, true, false},
+		"request begun first":    {received: true},
+		"request received first": {received: true, closeFirst: true},
+		"close first":            {closeFirst: true, want: errClosing},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			serverConn, clientConn := net.Pipe()
-			defer func() { assert.NilError(t, clientConn.Close()) }()
-			connection := newConnection(&Server{}, serverConn)
-			var closed, begun bool
+			serverConn, clientConn := pipe(t)
+			connection := newConnection(&Server{Handler: stubHandler{}}, serverConn)
+			if test.received {
+				_, err := io.WriteString(clientConn, "G")
+				assert.NilError(t, err)
+			}
 			if test.closeFirst {
-				closed = connection.closeIdle()
-				begun = connection.beginRequest()
+				connection.closeIdle(time.Now().Add(-time.Second))
 			} else {
-				begun = connection.beginRequest()
-				closed = connection.closeIdle()
+				assert.Assert(t, connection.beginRequest())
+				connection.closeIdle(time.Now().Add(-time.Second))
+			}
+			err := connection.awaitRequest()
+			assert.Equal(t, err, test.want)
+			assert.Assert(t, !connection.closing.Load())
+			if err == nil {
+				assert.Assert(t, connection.beginRequest())
 			}
-			assert.Equal(t, closed, test.closed)
-			assert.Equal(t, begun, test.begun)
-			assert.Equal(t, connection.closing.Load(), test.closed)
 		})
 	}
 }
+
+// TestNoRequestAfterTheLastResponse guards against reading a request behind the response
+// that closes its connection: the caller would get no response to it.
+func TestNoRequestAfterTheLastResponse(t *testing.T) {
+	serverConn, _ := pipe(t)
+	connection := newConnection(&Server{Handler: stubHandler{}}, serverConn)
+	assert.Assert(t, connection.beginRequest())
+	assert.Assert(t, connection.endAfterLast())
+	assert.Assert(t, !connection.beginRequest())
+}
+
+// pipe returns the two ends of a connection whose kernel buffers what is written.
+func pipe(t *testing.T) (server, client net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, listener.Close()) }()
+	client, err = net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	server, err = listener.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		assert.NilError(t, client.Close())
+		assert.NilError(t, server.Close())
+	})
+	return server, client
+}
+
+// stubHandler is a Handler that only has limits.
+type stubHandler struct{ Handler }
+
+func (stubHandler) Limits() Limits { return Limits{} }
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -60,6 +60,8 @@
 	// lingerTimeout is how long a connection is read after its last response, so
 	// that late input does not reset it before the caller has the response.
 	lingerTimeout = 150 * time.Millisecond
+	// receivedTimeout is the time to read bytes that the kernel has already received.
+	receivedTimeout = 10 * time.Millisecond
 	// bodyTimeout is the time limit for receiving an entire body.
 	bodyTimeout = 30 * time.Second
 	// writeTimeout is the time limit for one write to a caller that does not
@@ -111,6 +113,7 @@
 	draining       atomic.Bool
 	mutex          sync.Mutex
 	connections    connectionSet
+	closeIdleAt    time.Time
 	serving        task.Group
 	bufferedBodies atomic.Int64
 	inFlight       atomic.Int64
@@ -132,12 +135,17 @@
 			task.Sleep(ctx, acceptRetryDelay)
 			continue
 		}
-		connection := newConnection(server, accepted)
-		server.add(connection)
-		server.serving.Start(ctx, connection.serve, func(error) { server.remove(connection) })
+		server.start(ctx, accepted)
 	}
 }
 
+// start serves an accepted connection.
+func (server *Server) start(ctx context.Context, accepted net.Conn) {
+	connection := newConnection(server, accepted)
+	server.add(connection)
+	server.serving.Start(ctx, connection.serve, func(error) { server.remove(connection) })
+}
+
 // acceptRetryDelay is the delay after a temporary accept error, such as a lack
 // of file descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
@@ -154,6 +162,9 @@
 		server.connections = connectionSet{}
 	}
 	server.connections[connection] = struct{}{}
+	if !server.closeIdleAt.IsZero() {
+		connection.closeIdle(server.closeIdleAt)
+	}
 }
 
 func (server *Server) remove(connection *connection) {
@@ -166,12 +177,15 @@
 // read.
 func (server *Server) Drain() { server.draining.Store(true) }
 
-// CloseIdle closes the connections on which no request is in flight.
-func (server *Server) CloseIdle() {
+// CloseIdle closes the connections on which no request is in flight at the given time.
+// Until then, requests that are already under way are served; a new connection usually
+// has one.
+func (server *Server) CloseIdle(at time.Time) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
+	server.closeIdleAt = at
 	for connection := range server.connections {
-		connection.closeIdle()
+		connection.closeIdle(at)
 	}
 }
 
--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -71,10 +71,22 @@
 
 func start(t *testing.T, release map[string]chan struct{}) (*http1.Server, *handler, net.Conn) {
 	t.Helper()
-	handler := &handler{started: make(chan string, 64), disconnected: make(chan string, 64), release: release}
-	server := &http1.Server{Handler: handler}
+	listener := listen(t)
+	server, handler := serve(t, listener, release)
+	return server, handler, dial(t, listener)
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
+	return listener
+}
+
+func serve(t *testing.T, listener net.Listener, release map[string]chan struct{}) (*http1.Server, *handler) {
+	t.Helper()
+	handler := &handler{started: make(chan string, 64), disconnected: make(chan string, 64), release: release}
+	server := &http1.Server{Handler: handler}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := task.Start(ctx, func(ctx context.Context) error { return server.Serve(ctx, listener) })
 	t.Cleanup(func() {
@@ -83,7 +95,7 @@
 		<-ended
 		<-server.Done()
 	})
-	return server, handler, dial(t, listener)
+	return server, handler
 }
 
 func dial(t *testing.T, listener net.Listener) net.Conn {
@@ -206,7 +218,7 @@
 	assert.NilError(t, err)
 	<-handler.started
 	server.Drain()
-	server.CloseIdle()
+	server.CloseIdle(time.Now())
 	assert.Equal(t, server.InFlight(), int64(1))
 	close(release["/slow"])
 	reader := bufio.NewReader(conn)
@@ -227,7 +239,7 @@
 	<-handler.started
 	<-handler.started
 	server.Drain()
-	server.CloseIdle()
+	server.CloseIdle(time.Now())
 	reader := bufio.NewReader(conn)
 	for _, path := range []string{"/first", "/second"} {
 		close(release[path])
@@ -249,7 +261,37 @@
 		// The response is written before the count decreases.
 		continue
 	}
-	server.CloseIdle()
+	server.CloseIdle(time.Now())
 	_, err = reader.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// TestPlannedStopAnswersRequestsUnderWay guards against a planned stop that closes a
+// connection as idle while a request is under way on it, such as the first one of a
+// connection that has just been accepted.
+func TestPlannedStopAnswersRequestsUnderWay(t *testing.T) {
+	cases := map[string]struct{ earlier int }{
+		"new connection":  {0},
+		"kept connection": {1},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			server, _, conn := start(t, nil)
+			reader := bufio.NewReader(conn)
+			for range test.earlier {
+				_, err := io.WriteString(conn, "GET /earlier HTTP/1.1\r\nHost: h\r\n\r\n")
+				assert.NilError(t, err)
+				assert.Assert(t, !read(t, reader).last)
+			}
+			server.Drain()
+			server.CloseIdle(time.Now().Add(testTimeout))
+			_, err := io.WriteString(conn, "POST /order HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+			assert.NilError(t, err)
+			got := read(t, reader)
+			assert.Equal(t, got.body, "POST /order ")
+			assert.Assert(t, got.last)
+			_, err = reader.ReadByte()
+			assert.ErrorIs(t, err, io.EOF)
+		})
+	}
+}
--- a/io/mesh/run.go
+++ b/io/mesh/run.go
@@ -26,8 +26,7 @@
 	// daemon leaves and the moment when it rejects their calls.
 	peerNoticePeriod = 200 * time.Millisecond
 	// stopTimeout bounds the wait for background tasks after that.
-	stopTimeout      = 150 * time.Millisecond
-	idlePollInterval = 20 * time.Millisecond
+	stopTimeout = 150 * time.Millisecond
 	// readHeaderTimeout bounds the time to read a request header on the
 	// announcement, readiness and metrics listeners.
 	readHeaderTimeout = 2 * time.Second
@@ -40,6 +39,8 @@
 	tasks   task.Group
 	dials   task.Group
 	failed  chan error
+	// accepting is closed when no more connections of callers are accepted.
+	accepting chan struct{}
 }
 
 // Run serves until ctx ends or a background task fails, then shuts down
@@ -55,7 +56,7 @@
 	}
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	running := &running{daemon: daemon, context: inner, failed: make(chan error, 1)}
+	running := &running{daemon: daemon, context: inner, failed: make(chan error, 1), accepting: make(chan struct{})}
 	running.start(listeners)
 	daemon.log.Info().Str("event", "started").Str("incarnation", daemon.incarnation).
 		Str("service", string(daemon.settings.Service)).Str("callers", daemon.settings.CallerAddress).Send()
@@ -100,7 +101,10 @@
 	running.startTask(daemon.runAnnounce)
 	running.startTask(running.dial)
 	running.startTask(running.fetchConfigs)
-	running.startTask(func(ctx context.Context) error { return daemon.callers.Serve(ctx, listeners[0]) })
+	running.startTask(func(ctx context.Context) error {
+		defer close(running.accepting)
+		return daemon.callers.Serve(ctx, listeners[0])
+	})
 	running.serve(daemon.peerServer.HTTPServer(), listeners[1])
 	running.startTask(func(ctx context.Context) error {
 		daemon.recallTargets(ctx)
@@ -228,8 +232,8 @@
 	daemon.log.Info().Str("event", "requests-recalled").Int("requests", recalled).Send()
 	daemon.peerServer.RecallCalls()
 	_ = callers.Close()
-	daemon.callers.CloseIdle()
-	running.waitIdle(ctx)
+	daemon.callers.CloseIdle(plan.CloseIdle())
+	running.waitCallers(ctx)
 	select {
 	case <-finished:
 	case <-ctx.Done():
@@ -240,14 +244,19 @@
 	daemon.callers.Close()
 }
 
-// waitIdle waits until all requests of callers have been answered, or ctx ends.
-func (running *running) waitIdle(ctx context.Context) {
-	for running.daemon.callers.InFlight() > 0 {
-		if ctx.Err() != nil {
-			running.daemon.log.Warn().Str("event", "requests-given-up").
-				Int64("under-way", running.daemon.callers.InFlight()).Send()
-			return
+// waitCallers waits until all requests of callers have been answered and their
+// connections have ended, or ctx ends.
+func (running *running) waitCallers(ctx context.Context) {
+	select {
+	case <-running.accepting:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-running.daemon.callers.Done():
+	case <-ctx.Done():
+		if inFlight := running.daemon.callers.InFlight(); inFlight > 0 {
+			running.daemon.log.Warn().Str("event", "requests-given-up").Int64("under-way", inFlight).Send()
 		}
-		task.Sleep(ctx, idlePollInterval)
 	}
 }
