Planned stop: accept established connections before the listener closes

Callers saw: connections that the kernel had established when the listener closed were reset, with the requests that had been sent on them.

Cause: closing a listener resets what is in its accept queue, and the daemon closed it without looking. The queue is longer the less processor time the daemon has.

Change: the accept loop is woken, accepts until the queue is empty or 100 ms are over, and closes the listener itself.

Result: TestStopAcceptingServesEstablished failed before (connection reset by peer).

--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,8 +61,12 @@
 	// lingerTimeout is how long a connection is read after its last response, so
 	// that late input does not reset it before the caller has the response.
 	lingerTimeout = 150 * time.Millisecond
-	// receivedTimeout is the time to read bytes that the kernel has already received.
+	// receivedTimeout is the time to read bytes, or accept a connection, that the kernel
+	// has already received.
 	receivedTimeout = 10 * time.Millisecond
+	// establishedTimeout is the time to accept established connections before the
+	// listener closes.
+	establishedTimeout = 100 * time.Millisecond
 	// bodyTimeout is the time limit for receiving an entire body.
 	bodyTimeout = 30 * time.Second
 	// writeTimeout is the time limit for one write to a caller that does not
@@ -119,7 +124,8 @@
 	inFlight       atomic.Int64
 }
 
-// Serve accepts connections until ctx ends or the listener is closed.
+// Serve accepts connections until ctx ends, the listener is closed or StopAccepting is
+// called.
 func (server *Server) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
@@ -129,6 +135,10 @@
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				server.acceptEstablished(ctx, listener)
+				return nil
+			}
 			if !isTemporary(err) {
 				return eris.Wrap(err, "http1: cannot accept")
 			}
@@ -139,6 +149,38 @@
 	}
 }
 
+// StopAccepting makes Serve return and closes the listener, after the connections that
+// are already established have been accepted.
+func (*Server) StopAccepting(listener net.Listener) {
+	limited, ok := listener.(deadlineListener)
+	if !ok {
+		_ = listener.Close()
+		return
+	}
+	_ = limited.SetDeadline(time.Unix(1, 0))
+}
+
+// deadlineListener is a listener whose Accept can be interrupted.
+type deadlineListener interface {
+	SetDeadline(time.Time) error
+}
+
+// acceptEstablished accepts the connections that the kernel has established and that
+// would be reset when the listener closes. New ones may come as fast as they are
+// accepted, so its time is limited.
+func (server *Server) acceptEstablished(ctx context.Context, listener net.Listener) {
+	defer func() { _ = listener.Close() }()
+	limited, ok := listener.(deadlineListener)
+	for end := time.Now().Add(establishedTimeout); ok && time.Now().Before(end); {
+		_ = limited.SetDeadline(time.Now().Add(receivedTimeout))
+		accepted, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		server.start(ctx, accepted)
+	}
+}
+
 // start serves an accepted connection.
 func (server *Server) start(ctx context.Context, accepted net.Conn) {
 	connection := newConnection(server, accepted)
--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -295,3 +295,32 @@
 		})
 	}
 }
+
+// TestStopAcceptingServesEstablished guards against a planned stop that resets the
+// connections that the kernel has established and the daemon has not yet accepted.
+func TestStopAcceptingServesEstablished(t *testing.T) {
+	listener := listen(t)
+	conns := make([]net.Conn, 5)
+	for index := range conns {
+		conns[index] = dial(t, listener)
+	}
+	(&http1.Server{}).StopAccepting(listener)
+	serve(t, listener, nil)
+	for _, conn := range conns {
+		_, err := io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		assert.Equal(t, read(t, bufio.NewReader(conn)).body, "GET /a ")
+	}
+	assert.Assert(t, dialFails(listener))
+}
+
+func dialFails(listener net.Listener) bool {
+	for deadline := time.Now().Add(testTimeout); time.Now().Before(deadline); {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			return true
+		}
+		_ = conn.Close()
+	}
+	return false
+}
--- a/io/mesh/run.go
+++ b/io/mesh/run.go
@@ -231,7 +231,7 @@
 	recalled := daemon.entry.RecallRequests(plan)
 	daemon.log.Info().Str("event", "requests-recalled").Int("requests", recalled).Send()
 	daemon.peerServer.RecallCalls()
-	_ = callers.Close()
+	daemon.callers.StopAccepting(callers)
 	daemon.callers.CloseIdle(plan.CloseIdle())
 	running.waitCallers(ctx)
 	select {
