Allowance: a home that has ended its term refuses nothing as over the rate

Callers saw: in a planned stop of the home of their account, a request within rate and burst (15 of 1,000 tokens used) got 429, rate-exceeded.

Cause: the daemon checked that it was the home, the stop closed the bucket, and the closed bucket looked like an empty one. A daemon that had asked for a loan also took the account for empty until the time that the home named.

Change: a closed bucket is reported as such, and the request looks for the next home.

--- a/core/allowance/bucket.go
+++ b/core/allowance/bucket.go
@@ -290,6 +290,9 @@
 
 // refuse records refused requests and returns when to try again.
 func (bucket *bucket) refuse(requests int, again bool, now time.Time) Refusal {
+	if bucket.closed {
+		return Refusal{RetryAfter: minRecoveryPoll, Closed: true}
+	}
 	if again && bucket.unknown > 0 {
 		// The request is part of the demand already, and waits at its host.
 		wait := max(0, bucket.nextChange().Sub(now))
--- a/core/allowance/lender.go
+++ b/core/allowance/lender.go
@@ -59,6 +59,9 @@
 	// Recovering is set if a token is missing only because the home has taken
 	// over without knowing how many were left.
 	Recovering bool `cbor:"6,keyasint,omitempty"`
+	// Closed is set if nothing was granted because this home has ended its term. It
+	// is not sent: such a daemon does not respond as a home.
+	Closed bool `cbor:"-"`
 }
 
 // Lender manages the token buckets of the accounts that this host is a home
@@ -112,7 +115,7 @@
 	response := bucket.grantPending(request, now)
 	if request.Need > 0 && response.Granted == 0 {
 		refusal := bucket.refuse(request.Need, request.Again, now)
-		return LoanResponse{RetryAfter: refusal.RetryAfter, Recovering: refusal.Recovering}
+		return LoanResponse{RetryAfter: refusal.RetryAfter, Recovering: refusal.Recovering, Closed: refusal.Closed}
 	}
 	response.Prefetched = int(bucket.prefetch(request, now))
 	response.Granted += response.Prefetched
@@ -165,6 +168,8 @@
 	// Recovering is set if a token is missing only because the home has taken
 	// over without knowing how many were left.
 	Recovering bool
+	// Closed is set if this home has ended its term. The next home decides.
+	Closed bool
 }
 
 // Level describes a token bucket, for logs.
--- a/io/lending/spender.go
+++ b/io/lending/spender.go
@@ -201,6 +201,10 @@
 	if refusal == nil {
 		return result{permit: permit, granted: true}
 	}
+	if refusal.Closed {
+		// The term ended after now.
+		return result{}
+	}
 	spender.logRefusal(account, now, *refusal)
 	return result{refusal: rateExceeded(refusal.RetryAfter), recovering: refusal.Recovering}
 }
@@ -252,6 +256,9 @@
 		}
 		share := spender.share(request.Account, since)
 		response := spender.lender.Lend(request, share, now.Time())
+		if response.Closed {
+			return allowance.LoanResponse{}, errNotHome
+		}
 		if request.Need > 0 && response.Granted == 0 {
 			spender.logRefusal(request.Account, now, allowance.Refusal{RetryAfter: response.RetryAfter, Recovering: response.Recovering})
 		}
--- a/io/lending/spender_test.go
+++ b/io/lending/spender_test.go
@@ -38,6 +38,23 @@
 	return home.remainder
 }
 
+// endingHome hands its tenure over just after it has been asked for it, and is home
+// again afterwards.
+type endingHome struct {
+	ownHome
+	spender *lending.Spender
+	asked   int
+}
+
+func (home *endingHome) Holds(group allowance.Group, now balsamproxy.BootTime) (balsamproxy.BootTime, bool) {
+	home.asked++
+	if home.asked > 1 {
+		return now, true
+	}
+	home.spender.Close(allowance.Term{Group: group, Since: home.since.Time()}, home.since)
+	return home.since, true
+}
+
 // suspendedClock jumps at one of its calls, like the clock of a process that was
 // suspended.
 type suspendedClock struct {
@@ -119,3 +136,14 @@
 		})
 	}
 }
+
+// TestTermEndsWhileSpending guards against refusing a request as over the rate because its
+// home hands its tenure over between the check that it is the home and the grant.
+func TestTermEndsWhileSpending(t *testing.T) {
+	spender := newSpender(balsamproxy.SystemClock{}, allowance.Remainder{}, &bytes.Buffer{})
+	spender.Homes = &endingHome{spender: spender, ownHome: ownHome{
+		since: balsamproxy.SystemClock{}.Boot(), remainder: allowance.Remainder{Tokens: 4},
+	}}
+	_, refusal := spender.Spend(t.Context(), "planner")
+	assert.Assert(t, refusal == nil, "%+v", refusal)
+}
