Tests of the planned stop: fail for each case, check the deadline of a begun request

TestCloseIdleOrBegin had become weaker: it no longer noticed a close of idle connections that cuts off a request which has begun, because the wait for the next request sets its own deadline. It reads before that wait now; without the check of requests in flight in closeIdle it fails (i/o timeout).

The case "new connection" of TestPlannedStopAnswersRequestsUnderWay could pass on the code before the fix, since the connection was often not accepted yet.

--- a/io/http1/connection_test.go
+++ b/io/http1/connection_test.go
@@ -35,6 +35,11 @@
 				assert.Assert(t, connection.beginRequest())
 				connection.closeIdle(time.Now().Add(-time.Second))
 			}
+			if !test.closeFirst {
+				// A deadline of the idle connection would cut the request off.
+				_, err := connection.reader.Peek(1)
+				assert.NilError(t, err)
+			}
 			err := connection.awaitRequest()
 			assert.Equal(t, err, test.want)
 			assert.Assert(t, !connection.closing.Load())
--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -276,7 +276,11 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			server, _, conn := start(t, nil)
+			listener := &watchedListener{Listener: listen(t), accepting: make(chan struct{}, 4)}
+			server, _ := serve(t, listener, nil)
+			conn := dial(t, listener)
+			<-listener.accepting
+			<-listener.accepting // The connection is served.
 			reader := bufio.NewReader(conn)
 			for range test.earlier {
 				_, err := io.WriteString(conn, "GET /earlier HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -296,6 +300,17 @@
 	}
 }
 
+// watchedListener reports each call of Accept.
+type watchedListener struct {
+	net.Listener
+	accepting chan struct{}
+}
+
+func (listener *watchedListener) Accept() (net.Conn, error) {
+	listener.accepting <- struct{}{}
+	return listener.Listener.Accept()
+}
+
 // TestStopAcceptingServesEstablished guards against a planned stop that resets the
 // connections that the kernel has established and the daemon has not yet accepted.
 func TestStopAcceptingServesEstablished(t *testing.T) {
