Signals: no SIGHUP or SIGPIPE ends a daemon that starts or stops

Cause: the handler of SIGHUP was released when the context ended that SIGTERM cancels, and registered only after the settings had been read. The default action then ended the process, with requests in progress at targets.

The handlers are registered first and stay until the process has ended; daemons ignore SIGPIPE.

--- a/cmd/balsamproxy/config_test.go
+++ b/cmd/balsamproxy/config_test.go
@@ -37,7 +37,7 @@
 			}))
 			defer server.Close()
 			var output, problems bytes.Buffer
-			status := run(t.Context(), []string{"config", "apply", "--daemon", server.URL, "--revision", "6", "-"},
+			status := run(t.Context(), []string{"config", "apply", "--daemon", server.URL, "--revision", "6", "-"}, nil,
 				strings.NewReader("{}"), &output, &problems)
 			assert.Equal(t, status, test.want, problems.String())
 		})
--- a/cmd/balsamproxy/daemon.go
+++ b/cmd/balsamproxy/daemon.go
@@ -15,6 +15,8 @@
 	program *program
 }
 
+func (*daemonCommand) runsDaemon() {}
+
 // Execute runs a daemon until the context is cancelled by SIGTERM or SIGINT.
 func (command *daemonCommand) Execute([]string) error {
 	parsed, err := readSettings(command.Settings)
--- a/cmd/balsamproxy/main.go
+++ b/cmd/balsamproxy/main.go
@@ -55,28 +55,33 @@
 type program struct {
 	Version func() `long:"version" description:"Print the version and exit"`
 
-	ctx    context.Context
-	stdin  io.Reader
-	stdout io.Writer
-	stderr io.Writer
+	ctx context.Context
+	// hangups receives SIGHUP from the start of the process until its end.
+	hangups <-chan os.Signal
+	stdin   io.Reader
+	stdout  io.Writer
+	stderr  io.Writer
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	status := run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
-	stop()
-	os.Exit(int(status))
+	// The handlers stay until the process has ended. Their default actions would
+	// end a daemon that starts, or that stops and still has requests to answer.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	os.Exit(int(run(ctx, os.Args[1:], hangups, os.Stdin, os.Stdout, os.Stderr)))
 }
 
 // run parses a command line and executes its subcommand.
-func run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) exitStatus {
-	program := &program{ctx: ctx, stdin: stdin, stdout: stdout, stderr: stderr}
+func run(ctx context.Context, args []string, hangups <-chan os.Signal, stdin io.Reader, stdout, stderr io.Writer) exitStatus {
+	program := &program{ctx: ctx, hangups: hangups, stdin: stdin, stdout: stdout, stderr: stderr}
 	program.Version = func() {
 		fmt.Fprintln(stdout, "balsamproxy", version())
 		os.Exit(int(exitOK))
 	}
 	parser := flags.NewNamedParser("balsamproxy", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = help
+	parser.CommandHandler = execute
 	if err := program.register(parser); err != nil {
 		fmt.Fprintln(stderr, "balsamproxy:", err)
 		return exitFailed
@@ -85,6 +90,27 @@
 	return reportError(err, stdout, stderr)
 }
 
+// daemonRunner is a command that runs until it is told to stop.
+type daemonRunner interface {
+	flags.Commander
+	// runsDaemon marks the command.
+	runsDaemon()
+}
+
+// execute runs a command. A daemon is not ended by a SIGHUP, nor by a log output
+// that nobody reads; other commands are, by default.
+func execute(command flags.Commander, args []string) error {
+	if command == nil {
+		return nil
+	}
+	if _, isDaemon := command.(daemonRunner); isDaemon {
+		signal.Ignore(syscall.SIGPIPE)
+	} else {
+		signal.Reset(syscall.SIGHUP)
+	}
+	return command.Execute(args)
+}
+
 const help = `An overload control layer for service call graphs.
 
 Examples:
--- a/cmd/balsamproxy/mesh.go
+++ b/cmd/balsamproxy/mesh.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -27,6 +25,8 @@
 	program *program
 }
 
+func (*meshCommand) runsDaemon() {}
+
 // Execute runs a daemon on the platform until the context is cancelled by
 // SIGTERM or SIGINT.
 func (command *meshCommand) Execute([]string) error {
@@ -73,16 +73,13 @@
 // cannot be read or is invalid, it logs the error and the current settings stay in
 // force.
 func (command *meshCommand) watchSettings(ctx context.Context, data []byte, log zerolog.Logger, reloads chan<- settings.Mesh) error {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-hangups:
+		case <-command.program.hangups:
 		case <-ticker.C:
 		}
 		current, parsed, err := command.loadSettings()
