Evacuated data centres and warm-up rates

Cause: neither was served. The operator's key that evacuates a data centre was never read, and a cold target got half of its slots' worth of calls.

The follower of the configuration watches evacuations with the same calls, and peers pass them on with their status and with evidence. The entry leaves out targets of evacuated data centres, and the daemon beside a target refuses calls. Cold targets of services with a warm-up rate get calls at that rate.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -78,6 +78,7 @@
 	meanDirect float64
 	meanAt     time.Time
 	demand     demand
+	warmUp     warmUp
 }
 
 // routeStats holds the statistics of one route.
@@ -141,6 +142,9 @@
 	if now.Add(controller.minRemainingForFreeSlot(request)).After(request.Deadline) {
 		return Expired, nil
 	}
+	if controller.warmUp.active(now) {
+		return controller.acquireCold(request, now), nil
+	}
 	if controller.hasSlot(request.Nested) && !controller.hasPrecedingWaiter(request) {
 		controller.admit(request)
 		return Admitted, nil
@@ -254,7 +258,7 @@
 		return nil
 	}
 	decisions := controller.Expire(now)
-	for {
+	for controller.warmUp.allows(now) {
 		first := controller.nextWaiting()
 		if first < 0 {
 			return decisions
@@ -262,6 +266,8 @@
 		request := controller.waiting[first]
 		controller.waiting = append(controller.waiting[:first], controller.waiting[first+1:]...)
 		controller.admit(request)
+		controller.warmUp.take(now)
 		decisions = append(decisions, Decision{Ticket: request.Ticket, Verdict: Admitted})
 	}
+	return decisions
 }
--- a/core/admission/queries.go
+++ b/core/admission/queries.go
@@ -130,6 +130,9 @@
 	if controller.slots == 0 {
 		return time.Hour
 	}
+	if rate := controller.warmUp.rate; rate > 0 && controller.warmUp.until.After(controller.meanAt) {
+		return time.Duration(float64(time.Second) * float64(len(controller.waiting)+1) / rate)
+	}
 	slots := float64(controller.slots)
 	if !request.Nested {
 		slots = max(slots-controller.meanNested, float64(controller.guaranteedSlots()), 1)
--- a/core/announced/table.go
+++ b/core/announced/table.go
@@ -251,8 +251,17 @@
 	}
 }
 
+// restoredWarmUp is how long a target that was cold is assumed to be cold after a
+// restart of the daemon. Its next announcement tells how long it is.
+const restoredWarmUp = 3 * time.Second
+
 func restored(stored Record, now time.Time) *record {
+	coldUntil := time.Time{}
+	if stored.Target.State == balsamproxy.TargetCold {
+		coldUntil = now.Add(restoredWarmUp)
+	}
 	return &record{
+		coldUntil:    coldUntil,
 		announcement: balsamproxy.Announcement{Target: stored.Target, Born: stored.Born, Sequence: stored.Sequence},
 		lastUpdate:   now,
 		withdrawn:    stored.Withdrawn,
--- a/core/config/diff.go
+++ b/core/config/diff.go
@@ -26,6 +26,9 @@
 		account.Keys = nil
 		entries[name] = render(account)
 	}
+	for _, service := range document.Services {
+		entries["service "+string(service.ID)] = render(service)
+	}
 	for _, route := range document.Routes {
 		entries["route "+string(route.ID)] = render(route)
 	}
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -34,6 +34,17 @@
 	Routes         []Route         `json:"routes"`
 	// Callers limits the connections of callers; nil means the defaults.
 	Callers *CallerLimits `json:"callers,omitempty"`
+	// Services holds what applies to the targets of a service. Services that are not
+	// listed have no such limits.
+	Services []Service `json:"services,omitempty"`
+}
+
+// Service limits the calls to the targets of a service.
+type Service struct {
+	ID balsamproxy.ServiceID `json:"id"`
+	// WarmUpRate is the number of calls per second that a cold target takes, from all
+	// hosts together; zero means no limit.
+	WarmUpRate float64 `json:"warm-up-rate,omitempty"`
 }
 
 // CallerLimits sets size limits and timeouts for a caller's connection. A zero
--- a/core/config/index.go
+++ b/core/config/index.go
@@ -33,6 +33,8 @@
 	// priorities contains only the accounts that override the route's priority.
 	priorities map[balsamproxy.ClientAccountID]balsamproxy.Priority
 	unlimited  map[balsamproxy.ClientAccountID]bool
+	// warmUpRates contains only the services with a warm-up rate.
+	warmUpRates map[balsamproxy.ServiceID]float64
 }
 
 type indexedKey struct {
@@ -53,6 +55,13 @@
 
 		priorities: map[balsamproxy.ClientAccountID]balsamproxy.Priority{},
 		unlimited:  map[balsamproxy.ClientAccountID]bool{},
+
+		warmUpRates: map[balsamproxy.ServiceID]float64{},
+	}
+	for _, service := range document.Services {
+		if service.WarmUpRate > 0 {
+			index.warmUpRates[service.ID] = service.WarmUpRate
+		}
 	}
 	for _, account := range document.ClientAccounts {
 		index.accounts[account.ID] = allowance.Limits{Rate: account.Rate, Burst: account.Burst}
@@ -120,6 +129,12 @@
 	return index.unlimited[account]
 }
 
+// WarmUpRate returns the number of calls per second that a cold target of a service
+// takes, zero if there is no limit.
+func (index *Index) WarmUpRate(service balsamproxy.ServiceID) float64 {
+	return index.warmUpRates[service]
+}
+
 // Priority returns the priority of a request: that of the account if it sets
 // one, otherwise that of the route.
 func (index *Index) Priority(account balsamproxy.ClientAccountID, route Route) balsamproxy.Priority {
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -19,6 +19,7 @@
 	maxDeadlineMS    = 600_000
 	maxRetryLimit    = 10
 	maxWeight        = 1_000_000
+	maxWarmUpRate    = 1_000_000
 	maxDocumentBytes = 900 * 1024
 	digestPrefix     = "sha256:"
 	digestBytes      = 32
@@ -65,6 +66,18 @@
 	for index, route := range document.Routes {
 		validator.checkRoute(route, strictjson.Child("/routes", index))
 	}
+	services := map[balsamproxy.ServiceID]bool{}
+	for index, service := range document.Services {
+		pointer := strictjson.Child("/services", index)
+		validator.checkName(pointer+"/id", string(service.ID))
+		if services[service.ID] {
+			validator.faults.Add(pointer+"/id", "%q stands twice", service.ID)
+		}
+		services[service.ID] = true
+		if !(service.WarmUpRate >= 0 && service.WarmUpRate <= maxWarmUpRate) {
+			validator.faults.Add(pointer+"/warm-up-rate", "%v is not between 0 and %d", service.WarmUpRate, maxWarmUpRate)
+		}
+	}
 	return validator.faults
 }
 
--- a/core/placement/chooser.go
+++ b/core/placement/chooser.go
@@ -42,6 +42,9 @@
 	// serviceFailureWeight is the weight of one call in the failure rate of its
 	// service.
 	serviceFailureWeight = 0.03
+	// coldCost is added for a target that is warming up: it takes few calls a second
+	// and rejects the others, so it is used if no other target is expected to respond.
+	coldCost = 1.0
 	// triedCost is added for a target that has already rejected this call.
 	triedCost = 0.1
 	// loadReportTTL is how long a reported load is used.
@@ -200,6 +203,9 @@
 	if contains(call.Tried, endpoint.Target.ID) {
 		base += triedCost
 	}
+	if endpoint.Target.State == balsamproxy.TargetCold {
+		base += coldCost
+	}
 	baseline := chooser.serviceFailureRate(endpoint.Target.Service, now)
 	stats, found := chooser.targets[endpoint.Target.ID]
 	if !found {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -18,6 +18,7 @@
 	"balsamproxy"
 	"balsamproxy/core/budget"
 	"balsamproxy/core/config"
+	"balsamproxy/core/evacuation"
 	"balsamproxy/core/evidence"
 	"balsamproxy/core/membership"
 	"balsamproxy/core/placement"
@@ -38,16 +39,18 @@
 	Evidence  *evidence.Evidence
 	Allowance balsamproxy.Allowance
 	Members   *membership.Table
-	Chooser   *placement.Chooser
-	Split     *placement.Split
-	Budget    *budget.Budget
-	Local     balsamproxy.Forwarder
-	Remote    balsamproxy.RemoteForwarder
-	Clock     balsamproxy.Clock
-	Boot      balsamproxy.BootClock
-	Random    func() float64
-	Events    *events.Log
-	Metrics   tally.Scope
+	// Evacuations holds the data centres whose targets receive no work.
+	Evacuations *evacuation.Table
+	Chooser     *placement.Chooser
+	Split       *placement.Split
+	Budget      *budget.Budget
+	Local       balsamproxy.Forwarder
+	Remote      balsamproxy.RemoteForwarder
+	Clock       balsamproxy.Clock
+	Boot        balsamproxy.BootClock
+	Random      func() float64
+	Events      *events.Log
+	Metrics     tally.Scope
 	// Crashes prevents requests that crash targets from being retried.
 	Crashes CrashTracker
 	// CallFailed is called when a call made by a target of this host has failed.
--- a/io/entry/retry.go
+++ b/io/entry/retry.go
@@ -111,7 +111,7 @@
 		return false
 	}
 	attempts := &transaction.attempts
-	endpoints := transaction.entry.Members.Endpoints(transaction.service)
+	endpoints := transaction.entry.endpoints(transaction.service)
 	if len(endpoints) <= 1 {
 		return false
 	}
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"balsamproxy"
@@ -125,7 +126,7 @@
 		if attempts.fullCount >= fullTargetsMax {
 			return transaction.chooseFullTarget()
 		}
-		endpoints := entry.Members.Endpoints(transaction.service)
+		endpoints := entry.endpoints(transaction.service)
 		endpoint, found := entry.Chooser.Choose(endpoints, transaction.placementCall(), entry.Random, now)
 		if found {
 			return endpoint, transaction.maxWait(endpoints), nil
@@ -142,6 +143,17 @@
 	}
 }
 
+// endpoints returns the targets of a service that may receive work.
+func (entry *Entry) endpoints(service balsamproxy.ServiceID) []membership.Endpoint {
+	endpoints := entry.Members.Endpoints(service)
+	if entry.Evacuations == nil || !entry.Evacuations.Any() {
+		return endpoints
+	}
+	return slices.DeleteFunc(slices.Clone(endpoints), func(endpoint membership.Endpoint) bool {
+		return entry.Evacuations.Contains(endpoint.DataCentre)
+	})
+}
+
 // placementCall returns the properties of the request that placement depends on.
 func (transaction *transaction) placementCall() placement.Call {
 	return placement.Call{
--- a/io/mesh/config.go
+++ b/io/mesh/config.go
@@ -10,6 +10,7 @@
 
 	"balsamproxy"
 	"balsamproxy/core/config"
+	"balsamproxy/core/evacuation"
 	"balsamproxy/core/evidence"
 	"balsamproxy/io/peer"
 	"balsamproxy/task"
@@ -50,13 +51,17 @@
 // configFollower keeps the configuration in force up to date, and the evidence
 // that it is current.
 type configFollower struct {
-	store    balsamproxy.StorePoller
-	reader   balsamproxy.StoreReader
-	key      balsamproxy.StoreKey
-	decode   Decode
-	current  *config.Current
-	evidence *evidence.Evidence
-	clock    balsamproxy.BootClock
+	store  balsamproxy.StorePoller
+	reader balsamproxy.StoreReader
+	key    balsamproxy.StoreKey
+	// operatorPrefix and evacuationPrefix are those of Platform.
+	operatorPrefix   balsamproxy.StoreKey
+	evacuationPrefix balsamproxy.StoreKey
+	evacuations      *evacuation.Table
+	decode           Decode
+	current          *config.Current
+	evidence         *evidence.Evidence
+	clock            balsamproxy.BootClock
 	// onChange is called after a change that peers wait for, and onFirst after the
 	// first configuration that they have as well.
 	onChange func()
@@ -148,18 +153,21 @@
 // after that revision. It returns the revision to continue from.
 func (follower *configFollower) poll(ctx context.Context, after balsamproxy.Revision) (balsamproxy.Revision, error) {
 	start := follower.clock.Boot()
+	prefix := follower.watchedPrefix()
 	if after == 0 {
-		snapshot, err := follower.reader.Range(ctx, follower.key)
+		snapshot, err := follower.reader.Range(ctx, prefix)
 		if err != nil {
 			return 0, err
 		}
+		// Before the configuration, with which the daemon begins to serve.
+		follower.applyEvacuations(snapshot)
 		for _, entry := range snapshot.Entries {
 			follower.applyEntry(entry)
 		}
 		follower.confirm(start)
 		return snapshot.Revision, nil
 	}
-	changes, err := follower.store.Changes(ctx, follower.key, after, pollTimeout)
+	changes, err := follower.store.Changes(ctx, prefix, after, pollTimeout)
 	if err != nil {
 		return after, err
 	}
@@ -167,6 +175,7 @@
 		if !event.Deleted {
 			follower.applyEntry(event.Entry)
 		}
+		follower.applyEvacuation(event)
 	}
 	follower.confirm(start)
 	return changes.Revision, nil
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -25,6 +25,7 @@
 	"balsamproxy/core/announced"
 	"balsamproxy/core/budget"
 	"balsamproxy/core/config"
+	"balsamproxy/core/evacuation"
 	"balsamproxy/core/evidence"
 	"balsamproxy/core/membership"
 	"balsamproxy/core/memory"
@@ -77,6 +78,11 @@
 	// value.
 	ConfigKey balsamproxy.StoreKey
 	Decode    Decode
+	// OperatorPrefix is the prefix of ConfigKey and of the keys by which the operator
+	// evacuates data centres, which is EvacuationPrefix and the data centre. If both
+	// are empty, there are no evacuations.
+	OperatorPrefix   balsamproxy.StoreKey
+	EvacuationPrefix balsamproxy.StoreKey
 	// Announcements returns the HTTP handler for announcements of targets.
 	Announcements func(target *target.Local) http.Handler
 	// ReadyPath is the path of the platform's readiness probe.
@@ -94,19 +100,20 @@
 	incarnation     string
 	clock           balsamproxy.SystemClock
 
-	current    config.Current
-	evidence   evidence.Evidence
-	table      membership.Table
-	budget     budget.Budget
-	view       *view
-	local      *target.Local
-	peerServer *peer.Server
-	pool       *peer.Pool
-	registry   *registry.Registry
-	spender    *lending.Spender
-	follower   *configFollower
-	entry      *entry.Entry
-	callers    *http1.Server
+	current     config.Current
+	evacuations evacuation.Table
+	evidence    evidence.Evidence
+	table       membership.Table
+	budget      budget.Budget
+	view        *view
+	local       *target.Local
+	peerServer  *peer.Server
+	pool        *peer.Pool
+	registry    *registry.Registry
+	spender     *lending.Spender
+	follower    *configFollower
+	entry       *entry.Entry
+	callers     *http1.Server
 
 	crashes crashes
 	service atomic.Pointer[balsamproxy.ServiceID]
@@ -180,7 +187,11 @@
 		Record:  daemon.recordTargets,
 		Log:     daemon.log,
 		Metrics: daemon.metrics,
-		Bodies:  &memory.Budget{Bytes: daemon.bodyMemory()},
+
+		WarmUpRate: daemon.warmUpRate,
+		Evacuated:  func() bool { return daemon.evacuations.Contains(daemon.settings.DataCentre) },
+
+		Bodies: &memory.Budget{Bytes: daemon.bodyMemory()},
 	}
 	daemon.peerServer = &peer.Server{Local: daemon.local, Status: daemon.status, OnStatus: daemon.handleGreeting}
 	daemon.pool = &peer.Pool{
@@ -195,6 +206,15 @@
 	}
 }
 
+// warmUpRate returns the calls per second that a cold target of a service takes.
+func (daemon *Daemon) warmUpRate(service balsamproxy.ServiceID) float64 {
+	index := daemon.current.Index()
+	if index == nil {
+		return 0
+	}
+	return index.WarmUpRate(service)
+}
+
 // bodyMemory returns the memory for bodies of responses, in bytes.
 func (daemon *Daemon) bodyMemory() int64 {
 	if daemon.settings.MemoryMB == 0 {
@@ -235,9 +255,14 @@
 		Log: daemon.log,
 	}
 	daemon.follower = &configFollower{
-		store:    daemon.platform.Store,
-		reader:   daemon.platform.Store,
-		key:      daemon.platform.ConfigKey,
+		store:  daemon.platform.Store,
+		reader: daemon.platform.Store,
+		key:    daemon.platform.ConfigKey,
+
+		operatorPrefix:   daemon.platform.OperatorPrefix,
+		evacuationPrefix: daemon.platform.EvacuationPrefix,
+		evacuations:      &daemon.evacuations,
+
 		decode:   daemon.platform.Decode,
 		current:  &daemon.current,
 		evidence: &daemon.evidence,
@@ -278,16 +303,19 @@
 		Evidence:  &daemon.evidence,
 		Allowance: daemon.spender,
 		Members:   &daemon.table,
-		Chooser:   &placement.Chooser{DataCentre: daemon.settings.DataCentre},
-		Split:     &placement.Split{},
-		Budget:    &daemon.budget,
-		Local:     daemon.local,
-		Remote:    daemon.pool,
-		Clock:     daemon.clock,
-		Boot:      daemon.clock,
-		Random:    rand.Float64,
-		Events:    &events.Log{Logger: daemon.log, Now: time.Now},
-		Metrics:   daemon.metrics,
+
+		Evacuations: &daemon.evacuations,
+
+		Chooser: &placement.Chooser{DataCentre: daemon.settings.DataCentre},
+		Split:   &placement.Split{},
+		Budget:  &daemon.budget,
+		Local:   daemon.local,
+		Remote:  daemon.pool,
+		Clock:   daemon.clock,
+		Boot:    daemon.clock,
+		Random:  rand.Float64,
+		Events:  &events.Log{Logger: daemon.log, Now: time.Now},
+		Metrics: daemon.metrics,
 
 		CallFailed: daemon.local.CallFailed,
 		Crashes:    &daemon.crashes,
@@ -310,6 +338,7 @@
 		Homes:       daemon.registry.Held(),
 		Backups:     daemon.registry.Backups(),
 		Crashes:     daemon.crashes.recent(daemon.clock.Now()),
+		Evacuations: daemon.follower.evacuationRecords(),
 	}
 }
 
@@ -330,6 +359,7 @@
 
 func (daemon *Daemon) handleStatus(status balsamproxy.Status) {
 	daemon.view.update(status)
+	daemon.follower.mergeEvacuations(status.Evacuations)
 	daemon.crashes.merge(status.Crashes, daemon.clock.Now())
 	daemon.registry.ApplyStatus(status)
 	if daemon.follower.relay.fetchesFrom(status) {
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -40,6 +40,8 @@
 	Known   bool                 `cbor:"1,keyasint"`
 	Age     time.Duration        `cbor:"2,keyasint"`
 	Version balsamproxy.Revision `cbor:"3,keyasint"`
+	// Evacuations are those that the peer knew when it was asked.
+	Evacuations []balsamproxy.Evacuation `cbor:"4,keyasint,omitempty"`
 }
 
 // relay obtains evidence from peers, so that only one daemon has to read the
@@ -58,7 +60,7 @@
 	peer.Handle(server, kindEvidence, func(context.Context, balsamproxy.HostID, evidenceRequest) (evidenceResponse, error) {
 		follower := relay.follower
 		age, known := follower.evidence.Age(follower.clock.Boot())
-		return evidenceResponse{Known: known, Age: age, Version: follower.version()}, nil
+		return evidenceResponse{Known: known, Age: age, Version: follower.version(), Evacuations: follower.evacuationRecords()}, nil
 	})
 }
 
@@ -126,6 +128,7 @@
 	if err != nil || !answer.Known || answer.Age >= limit {
 		return false
 	}
+	follower.mergeEvacuations(answer.Evacuations)
 	if answer.Version > follower.version() {
 		follower.fetch(ctx, relay.pool, host)
 	}
--- a/io/target/delivery.go
+++ b/io/target/delivery.go
@@ -52,6 +52,9 @@
 		return balsamproxy.RecalledRefusal()
 	}
 	local := delivery.local
+	if local.evacuated() {
+		return evacuatedRefusal()
+	}
 	now := local.Clock.Now()
 	head := delivery.call.Head
 	local.mutex.Lock()
@@ -159,6 +162,10 @@
 		delivery.release(0)
 		return nil, balsamproxy.NotRun(balsamproxy.ReasonCancelled, "nobody waits for the answer")
 	}
+	if delivery.local.evacuated() {
+		delivery.release(0)
+		return nil, evacuatedRefusal()
+	}
 	if !delivery.call.Head.Idempotent {
 		// A non-idempotent call cannot be retried, so it continues until its
 		// deadline even if the caller is gone.
@@ -181,6 +188,12 @@
 	return delivery.evaluate(received)
 }
 
+// evacuatedRefusal returns the refusal of a call to a target in an evacuated data
+// centre.
+func evacuatedRefusal() *balsamproxy.Refusal {
+	return balsamproxy.NotRun(balsamproxy.ReasonDraining, "the data centre is evacuated")
+}
+
 // evaluate converts the response of the target to a response or a refusal.
 func (delivery *delivery) evaluate(received *targetResponse) (*balsamproxy.Response, *balsamproxy.Refusal) {
 	if refusal := delivery.refusedByTarget(received.metadata); refusal != nil {
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -41,6 +41,12 @@
 	Record  func(records func() []announced.Record)
 	Log     zerolog.Logger
 	Metrics tally.Scope
+	// WarmUpRate returns the calls per second that a cold target of a service takes,
+	// zero if there is no limit; nil means that there is none for any service.
+	WarmUpRate func(service balsamproxy.ServiceID) float64
+	// Evacuated reports whether the operator has evacuated the data centre of this
+	// host; nil means that it never does.
+	Evacuated func() bool
 	// Bodies bounds the memory for bodies of responses. A single body gets at
 	// most half of it.
 	Bodies *memory.Budget
@@ -69,6 +75,9 @@
 // wraps announced.ErrInvalid if the announcement names no usable target.
 func (local *Local) Announce(announcement balsamproxy.Announcement) error {
 	now := local.Clock.Now()
+	if announcement.WarmupRemaining > 0 && announcement.Target.State == balsamproxy.TargetReady && local.warmUpRate(announcement.Target.Service) > 0 {
+		announcement.Target.State = balsamproxy.TargetCold
+	}
 	local.mutex.Lock()
 	changed, err := local.table.Announce(announcement, now)
 	if err == nil {
@@ -132,9 +141,20 @@
 	}
 	queue.cold = now.Before(state.ColdUntil)
 	slots := admission.UsableSlots(state.Target.Slots, queue.cold)
+	queue.controller.SetWarmUp(local.warmUpRate(state.Target.Service), state.ColdUntil, now)
 	queue.notify(queue.controller.SetSlots(slots, now))
 }
 
+func (local *Local) warmUpRate(service balsamproxy.ServiceID) float64 {
+	if local.WarmUpRate == nil {
+		return 0
+	}
+	return local.WarmUpRate(service)
+}
+
+// evacuated reports whether the operator has evacuated this data centre.
+func (local *Local) evacuated() bool { return local.Evacuated != nil && local.Evacuated() }
+
 func (queue *admissionQueue) notify(decisions []admission.Decision) {
 	for _, decision := range decisions {
 		if verdicts, found := queue.waiting[decision.Ticket]; found {
--- a/member.go
+++ b/member.go
@@ -75,6 +75,17 @@
 	Backups []HostID `cbor:"11,keyasint,omitempty"`
 	// Crashes are the requests that were in flight when a target crashed.
 	Crashes []Crash `cbor:"9,keyasint,omitempty"`
+	// Evacuations are the latest known states of the data centres that the operator
+	// has ever evacuated.
+	Evacuations []Evacuation `cbor:"12,keyasint,omitempty"`
+}
+
+// Evacuation says whether the operator had evacuated a data centre at a revision of
+// the store.
+type Evacuation struct {
+	DataCentre DataCentreID `cbor:"1,keyasint"`
+	Revision   Revision     `cbor:"2,keyasint"`
+	Evacuated  bool         `cbor:"3,keyasint,omitempty"`
 }
 
 // Crash records that a request was in flight when a target crashed.
