--- a/io/target/delivery.go
+++ b/io/target/delivery.go
@@ -28,6 +28,9 @@
 		return nil, balsamproxy.NotRun(balsamproxy.ReasonBadRequest, "the body ended early")
 	}
 	delivery := &delivery{local: local, call: call, body: body}
+	if local.evacuated() {
+		return nil, evacuatedRefusal()
+	}
 	if refusal := delivery.acquire(ctx); refusal != nil {
 		return nil, refusal
 	}
@@ -52,9 +55,6 @@
 		return balsamproxy.RecalledRefusal()
 	}
 	local := delivery.local
-	if local.evacuated() {
-		return evacuatedRefusal()
-	}
 	now := local.Clock.Now()
 	head := delivery.call.Head
 	local.mutex.Lock()
