Entry: shed requests by what they cost at services short of capacity

Cause: while a deep service rejects calls, work in front of it is spent on requests that fail.

Costs per route travel with responses, learned from the calls of targets, and each entry keeps a congestion price for each service (core/pricing). Setting shed-by-cost.

--- a/call.go
+++ b/call.go
@@ -85,6 +85,19 @@
 	DependencyFailed bool `cbor:"5,keyasint,omitempty"`
 	// Congestion is the reason of that failure, if it was congestion.
 	Congestion Congestion `cbor:"6,keyasint,omitempty"`
+	// Costs is what one request of the route uses of each service on average, if
+	// the daemon beside the target reports it.
+	Costs []ServiceCost `cbor:"7,keyasint,omitempty"`
+}
+
+// ServiceCost is what one request uses of one service.
+type ServiceCost struct {
+	Service ServiceID `cbor:"1,keyasint"`
+	// Work is the time for which slots of the service's targets are in use.
+	Work time.Duration `cbor:"2,keyasint,omitempty"`
+	// Pressure is the work offered to the service, whether admitted or not, as a
+	// multiple of its capacity.
+	Pressure float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // ShownCongestion returns the kind of congestion that a response shows.
@@ -115,6 +128,9 @@
 	Queued   int `cbor:"3,keyasint"`
 	// Wait is the expected queueing time of another call of the same kind.
 	Wait time.Duration `cbor:"4,keyasint,omitempty"`
+	// Pressure is the work offered to the target, whether admitted or not, as a
+	// multiple of its capacity; zero if it is not reported.
+	Pressure float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Response is one response of a target.
--- a/core/admission/queries.go
+++ b/core/admission/queries.go
@@ -183,3 +183,12 @@
 		Wait:     controller.expectedWait(Request{Route: route, Nested: nested}),
 	}
 }
+
+// Pressure returns the work offered to the target, whether admitted or not, as a
+// multiple of its capacity.
+func (controller *Controller) Pressure(now time.Time) float64 {
+	if controller.slots == 0 {
+		return 0
+	}
+	return controller.demand.recentAt(now) / pressureWindow.Seconds() / float64(controller.slots)
+}
--- a/core/settings/mesh.go
+++ b/core/settings/mesh.go
@@ -41,8 +41,11 @@
 	RepeatRatio float64 `json:"repeat-ratio"`
 	RepeatSlack float64 `json:"repeat-slack"`
 	// MemoryMB is the memory limit of the process in megabytes; zero means none.
-	MemoryMB int    `json:"memory-mb,omitempty"`
-	LogLevel string `json:"log-level,omitempty"`
+	MemoryMB int `json:"memory-mb,omitempty"`
+	// ShedByCost makes the daemon shed requests at the entry by what they cost at
+	// services that are short of capacity.
+	ShedByCost bool   `json:"shed-by-cost,omitempty"`
+	LogLevel   string `json:"log-level,omitempty"`
 }
 
 // DefaultMeshStorePrefix is the default of Mesh.StorePrefix.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -21,6 +21,7 @@
 	"balsamproxy/core/evidence"
 	"balsamproxy/core/membership"
 	"balsamproxy/core/placement"
+	"balsamproxy/core/pricing"
 	"balsamproxy/core/suspect"
 	"balsamproxy/core/throttle"
 	"balsamproxy/io/events"
@@ -54,6 +55,12 @@
 	CallFailed func(congestion balsamproxy.Congestion)
 	// Throttle sheds requests whose calls would be rejected or time out.
 	Throttle *throttle.Throttle
+	// Prices shed requests by what they cost at services that are short of capacity;
+	// nil if they are not used.
+	Prices *pricing.Prices
+	// RecordCall is called with what a call made by a target of this host cost, and
+	// whether it failed; it may be nil.
+	RecordCall func(costs []balsamproxy.ServiceCost, failed bool)
 
 	inProgress inProgress
 }
@@ -83,6 +90,7 @@
 	{"stop", (*transaction).checkStop},
 	{"evidence", (*transaction).checkEvidence},
 	{"throttle", (*transaction).checkThrottle},
+	{"price", (*transaction).checkPrice},
 	{"allowance", (*transaction).spendAllowance},
 	{"place", (*transaction).send},
 }
@@ -110,9 +118,12 @@
 	// admittedAt is the time at which the throttle admitted the request, zero if
 	// it did not.
 	admittedAt time.Time
-	response   *balsamproxy.Response
-	refusal    *balsamproxy.Refusal
-	attempts   attempts
+	// pricedAt is the time at which the request was admitted at the current prices,
+	// zero if it was not.
+	pricedAt time.Time
+	response *balsamproxy.Response
+	refusal  *balsamproxy.Refusal
+	attempts attempts
 }
 
 // Handle processes one request. Its context ends when the body of the response is
@@ -130,6 +141,7 @@
 		entry.CallFailed(transaction.congestion())
 	}
 	transaction.recordOutcome()
+	transaction.recordCosts()
 	response.Body = &responseBody{ReadCloser: response.Body, end: cancel}
 	return response
 }
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -24,11 +24,13 @@
 	"balsamproxy/core/allowance"
 	"balsamproxy/core/announced"
 	"balsamproxy/core/budget"
+	"balsamproxy/core/callcost"
 	"balsamproxy/core/config"
 	"balsamproxy/core/evidence"
 	"balsamproxy/core/membership"
 	"balsamproxy/core/memory"
 	"balsamproxy/core/placement"
+	"balsamproxy/core/pricing"
 	"balsamproxy/core/settings"
 	"balsamproxy/core/throttle"
 	"balsamproxy/io/entry"
@@ -293,6 +295,11 @@
 		Crashes:    &daemon.crashes,
 		Throttle:   &throttle.Throttle{},
 	}
+	if daemon.settings.ShedByCost {
+		daemon.local.Costs = &callcost.Ledger{}
+		daemon.entry.Prices = &pricing.Prices{}
+		daemon.entry.RecordCall = daemon.local.RecordCall
+	}
 	daemon.callers = &http1.Server{Handler: daemon.entry}
 }
 
--- a/io/target/delivery.go
+++ b/io/target/delivery.go
@@ -37,13 +37,24 @@
 		return nil, refusal
 	}
 	response.Head.Load = delivery.load()
+	response.Head.Costs = delivery.costs(response.Head.Load)
 	return response, nil
 }
 
 func (delivery *delivery) load() balsamproxy.Load {
 	delivery.local.mutex.Lock()
 	defer delivery.local.mutex.Unlock()
-	return delivery.queue.controller.Load(delivery.call.Head.Route, delivery.call.Head.Nested)
+	return delivery.loadLocked()
+}
+
+// loadLocked returns the load of the target. The caller must hold the mutex of local.
+func (delivery *delivery) loadLocked() balsamproxy.Load {
+	controller := &delivery.queue.controller
+	load := controller.Load(delivery.call.Head.Route, delivery.call.Head.Nested)
+	if delivery.local.Costs != nil {
+		load.Pressure = controller.Pressure(delivery.local.Clock.Now())
+	}
+	return load
 }
 
 // acquire waits for admission by the target's admission controller.
@@ -70,7 +81,7 @@
 		verdicts = make(chan admission.Verdict, 1)
 		queue.waiting[delivery.ticket] = verdicts
 	}
-	load := queue.controller.Load(head.Route, head.Nested)
+	load := delivery.loadLocked()
 	local.mutex.Unlock()
 	if verdicts != nil {
 		local.wakeUp()
@@ -171,8 +182,11 @@
 		}
 	}
 	begin := delivery.local.Clock.Now()
+	delivery.beginRequest(begin)
 	received, err := delivery.exchange(ctx)
-	serviceTime := delivery.local.Clock.Now().Sub(begin)
+	end := delivery.local.Clock.Now()
+	delivery.endRequest(end)
+	serviceTime := end.Sub(begin)
 	if err != nil {
 		delivery.release(0)
 		return nil, delivery.refusalFor(ctx, err)
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -13,6 +13,7 @@
 	"balsamproxy"
 	"balsamproxy/core/admission"
 	"balsamproxy/core/announced"
+	"balsamproxy/core/callcost"
 	"balsamproxy/core/memory"
 	"balsamproxy/task"
 )
@@ -44,6 +45,9 @@
 	// Bodies bounds the memory for bodies of responses. A single body gets at
 	// most half of it.
 	Bodies *memory.Budget
+	// Costs records what requests cost at the services that they cause calls to; if
+	// nil, neither costs nor pressure are reported.
+	Costs *callcost.Ledger
 
 	mutex              sync.Mutex
 	table              announced.Table
