--- a/call.go
+++ b/call.go
@@ -95,8 +95,8 @@
 	Service ServiceID `cbor:"1,keyasint"`
 	// Work is the time for which slots of the service's targets are in use.
 	Work time.Duration `cbor:"2,keyasint,omitempty"`
-	// Pressure is the work offered to the service, whether admitted or not, as a
-	// multiple of its capacity.
+	// Pressure is the fraction of the slots in use at the targets that took the calls,
+	// and higher if no target took some of them.
 	Pressure float64 `cbor:"3,keyasint,omitempty"`
 }
 
@@ -128,8 +128,8 @@
 	Queued   int `cbor:"3,keyasint"`
 	// Wait is the expected queueing time of another call of the same kind.
 	Wait time.Duration `cbor:"4,keyasint,omitempty"`
-	// Pressure is the work offered to the target, whether admitted or not, as a
-	// multiple of its capacity; zero if it is not reported.
+	// Pressure is the fraction of the slots in use, averaged over some time; zero if it
+	// is not reported.
 	Pressure float64 `cbor:"5,keyasint,omitempty"`
 }
 
--- a/core/admission/demand.go
+++ b/core/admission/demand.go
@@ -5,27 +5,19 @@
 	"time"
 )
 
-const (
-	// demandWindow is the time constant of the measured demand.
-	demandWindow = time.Second
-	// pressureWindow is the time constant of the pressure. It is shorter than most
-	// requests take, since senders react to it with that delay in addition.
-	pressureWindow = 300 * time.Millisecond
-)
+// demandWindow is the time constant of the measured demand.
+const demandWindow = time.Second
 
 // demand measures the work that is asked of a target, whether it is admitted or
 // not.
 type demand struct {
 	// nested and direct are decaying sums of service times, in seconds.
 	nested, direct float64
-	// recent is the decaying sum of both over pressureWindow.
-	recent float64
-	at     time.Time
+	at             time.Time
 }
 
 func (demand *demand) record(nested bool, work time.Duration, now time.Time) {
 	decay := math.Exp(-float64(now.Sub(demand.at)) / float64(demandWindow))
-	demand.recent = demand.recentAt(now) + work.Seconds()
 	demand.at = now
 	demand.nested *= decay
 	demand.direct *= decay
@@ -43,8 +35,3 @@
 	}
 	return demand.direct / (demand.direct + demand.nested)
 }
-
-// recentAt returns the decaying sum over pressureWindow at an instant.
-func (demand *demand) recentAt(now time.Time) float64 {
-	return demand.recent * math.Exp(-float64(now.Sub(demand.at))/float64(pressureWindow))
-}
--- a/core/admission/queries.go
+++ b/core/admission/queries.go
@@ -184,11 +184,12 @@
 	}
 }
 
-// Pressure returns the work offered to the target, whether admitted or not, as a
-// multiple of its capacity.
+// Pressure returns the fraction of the slots in use, averaged over
+// inFlightMeanWindow. Rejected calls do not count: most of them find another target.
 func (controller *Controller) Pressure(now time.Time) float64 {
 	if controller.slots == 0 {
 		return 0
 	}
-	return controller.demand.recentAt(now) / pressureWindow.Seconds() / float64(controller.slots)
+	controller.updateMeans(now)
+	return (controller.meanNested + controller.meanDirect) / float64(controller.slots)
 }
--- a/core/pricing/prices.go
+++ b/core/pricing/prices.go
@@ -21,11 +21,15 @@
 	"balsamproxy"
 )
 
+// RejectedPressure is the pressure that a call reports which no target of the service
+// admitted. Other calls report the fraction of the slots in use at their target, so the
+// mean over all calls is about the offered work as a multiple of the capacity.
+const RejectedPressure = 2.0
+
 const (
-	// targetPressure is the work that is offered to a service when its price does
-	// not change, as a multiple of its capacity. The rest is room for arrivals that
-	// vary at random.
-	targetPressure = 0.92
+	// targetPressure is the pressure of a service at which its price does not change.
+	// The rest is room for arrivals that vary at random.
+	targetPressure = 0.95
 	// priceTimeConstant smooths the price over reports. Reports come with the delay
 	// of a request, and single targets vary.
 	priceTimeConstant = 600 * time.Millisecond
--- a/core/pricing/prices_test.go
+++ b/core/pricing/prices_test.go
@@ -64,8 +64,8 @@
 		}
 		pressure := recent / 0.3 / slots
 		for _, current := range calling[now] {
-			current.pressure = pressure
 			admitted := min(1, 1/pressure)
+			current.pressure = min(pressure, 1)*admitted + RejectedPressure*(1-admitted)
 			current.served = random.Float64() < math.Pow(admitted, float64(kinds[current.name].calls))
 		}
 		for _, current := range ending[now] {
--- a/io/entry/price.go
+++ b/io/entry/price.go
@@ -53,8 +53,8 @@
 	switch {
 	case transaction.response != nil:
 		return transaction.response.Head.Costs
-	case transaction.refusal != nil && transaction.refusal.Load.Pressure > 0:
-		return []balsamproxy.ServiceCost{{Service: transaction.service, Pressure: transaction.refusal.Load.Pressure}}
+	case transaction.refusal != nil && transaction.refusal.Congestion() == balsamproxy.CongestionRejected:
+		return []balsamproxy.ServiceCost{{Service: transaction.service, Pressure: pricing.RejectedPressure}}
 	default:
 		return nil
 	}
