--- a/core/admission/queries.go
+++ b/core/admission/queries.go
@@ -186,3 +186,13 @@
 		Wait:     controller.expectedWait(Request{Route: route, Nested: nested}),
 	}
 }
+
+// Pressure returns the fraction of the slots in use, averaged over
+// inFlightMeanWindow. Rejected calls do not count: most of them find another target.
+func (controller *Controller) Pressure(now time.Time) float64 {
+	if controller.slots == 0 {
+		return 0
+	}
+	controller.updateMeans(now)
+	return (controller.meanNested + controller.meanDirect) / float64(controller.slots)
+}
