--- a/core/placement/chooser.go
+++ b/core/placement/chooser.go
@@ -11,7 +11,6 @@
 
 import (
 	"math"
-	"sync"
 	"time"
 
 	"balsamproxy"
@@ -90,78 +89,12 @@
 	// DataCentre is the data centre of this host.
 	DataCentre balsamproxy.DataCentreID
 
-	mutex   sync.Mutex
-	targets map[balsamproxy.TargetID]*targetStats
-	// services holds the failure rate of each service over all of its targets.
-	services map[balsamproxy.ServiceID]*failureRate
-	// routes holds the latency of each route over all targets.
-	routes map[balsamproxy.RouteID]latencyEstimate
-}
-
-type targetStats struct {
-	inFlight  int
-	latencies map[balsamproxy.RouteID]latencyEstimate
-	failures  failureRate
-	// load is the last load report of the target, and inFlightAtLoad how many
-	// calls of this daemon were in flight when it arrived.
-	load           balsamproxy.Load
-	inFlightAtLoad int
-	loadAt         time.Time
-	usedAt         time.Time
-}
-
-// failureRate is an exponentially decaying failure rate.
-type failureRate struct {
-	rate float64
-	at   time.Time
-}
-
-// decayed returns the rate at an instant; it decays towards the baseline.
-func (failures failureRate) decayed(baseline float64, now time.Time) float64 {
-	age := now.Sub(failures.at)
-	return baseline + (failures.rate-baseline)*math.Exp2(-float64(age)/float64(failureHalfLife))
-}
-
-func (failures *failureRate) observe(failed, weight, baseline float64, now time.Time) {
-	rate := failures.decayed(baseline, now)
-	failures.rate = rate + (failed-rate)*weight
-	failures.at = now
-}
-
-// latencyEstimate is the mean latency of one route.
-type latencyEstimate struct {
-	mean time.Duration
-	at   time.Time
-}
-
-// statsTTL is how long the statistics of an unused target are kept.
-const statsTTL = time.Minute
-
-func (chooser *Chooser) stats(target balsamproxy.TargetID, now time.Time) *targetStats {
-	stats, found := chooser.targets[target]
-	if !found {
-		if chooser.targets == nil {
-			chooser.targets = map[balsamproxy.TargetID]*targetStats{}
-		}
-		chooser.evictIdle(now)
-		stats = &targetStats{latencies: map[balsamproxy.RouteID]latencyEstimate{}}
-		chooser.targets[target] = stats
-	}
-	stats.usedAt = now
-	return stats
-}
-
-func (chooser *Chooser) evictIdle(now time.Time) {
-	for target, stats := range chooser.targets {
-		if stats.inFlight == 0 && now.Sub(stats.usedAt) > statsTTL {
-			delete(chooser.targets, target)
-		}
-	}
+	statistics
 }
 
 // Choose returns the endpoint with the lowest expected cost. The random
 // function returns uniformly distributed numbers in [0, 1).
-func (chooser *Chooser) Choose(endpoints []membership.Endpoint, call Call, random func() float64, now time.Time) (membership.Endpoint, bool) {
+func (chooser *Chooser) Choose(endpoints []membership.Endpoint, call Call, random func() float64, now time.Time) (Choice, bool) {
 	chooser.mutex.Lock()
 	defer chooser.mutex.Unlock()
 	var best membership.Endpoint
@@ -176,7 +109,7 @@
 			best = endpoint
 		}
 	}
-	return best, !math.IsInf(lowest, 1)
+	return Choice{Endpoint: best}, !math.IsInf(lowest, 1)
 }
 
 func contains(excluded []balsamproxy.TargetID, target balsamproxy.TargetID) bool {
@@ -220,9 +153,15 @@
 	if objective <= 0 {
 		return 1
 	}
+	return missProbability(expected, objective) + linearLatencyCost*float64(expected)/float64(objective)
+}
+
+// missProbability returns the probability that a response with the expected
+// latency misses the objective, for log-normally distributed latencies.
+func missProbability(expected, objective time.Duration) float64 {
 	ratio := float64(expected) / float64(objective)
 	deviations := (latencySigma*latencySigma/2 - math.Log(ratio)) / latencySigma
-	return math.Erfc(deviations/math.Sqrt2)/2 + linearLatencyCost*ratio
+	return math.Erfc(deviations/math.Sqrt2) / 2
 }
 
 // utilization returns the fraction of the slots of a target in use: the last
@@ -254,99 +193,3 @@
 	age := now.Sub(estimate.at)
 	return max(time.Duration(float64(estimate.mean)*math.Exp2(-float64(age)/float64(latencyHalfLife))), defaultLatency)
 }
-
-// serviceFailureRate returns the failure rate of a service over all targets.
-func (chooser *Chooser) serviceFailureRate(service balsamproxy.ServiceID, now time.Time) float64 {
-	estimate, found := chooser.services[service]
-	if !found {
-		return 0
-	}
-	return estimate.decayed(0, now)
-}
-
-// Begin counts a call that is sent to a target.
-func (chooser *Chooser) Begin(target balsamproxy.TargetID, now time.Time) {
-	chooser.mutex.Lock()
-	defer chooser.mutex.Unlock()
-	chooser.stats(target, now).inFlight++
-}
-
-// Outcome is the result of a call.
-type Outcome int
-
-// Call outcomes.
-const (
-	// Answered is a successful response.
-	Answered Outcome = iota
-	// Failed is a response that reports a failure of the target.
-	Failed
-	// Lost is a call without a response.
-	Lost
-	// Refused is a call that was rejected before it reached the target.
-	Refused
-	// Inconclusive is a call that says nothing about the target.
-	Inconclusive
-)
-
-// Completion describes a completed call.
-type Completion struct {
-	Target   balsamproxy.TargetID
-	Service  balsamproxy.ServiceID
-	Route    balsamproxy.RouteID
-	Outcome  Outcome
-	Duration time.Duration
-	// Load is the load report of the target; it may be zero.
-	Load balsamproxy.Load
-}
-
-// End records a completed call.
-func (chooser *Chooser) End(ended Completion, now time.Time) {
-	chooser.mutex.Lock()
-	defer chooser.mutex.Unlock()
-	stats := chooser.stats(ended.Target, now)
-	stats.inFlight--
-	if ended.Load.Limit > 0 {
-		stats.load = ended.Load
-		stats.inFlightAtLoad = stats.inFlight
-		stats.loadAt = now
-	}
-	switch ended.Outcome {
-	case Answered:
-		stats.latencies[ended.Route] = stats.latencies[ended.Route].observe(ended.Duration, now)
-		chooser.recordLatency(ended.Route, ended.Duration, now)
-		chooser.recordOutcome(ended, 0, failureWeight, now)
-	case Failed:
-		chooser.recordOutcome(ended, 1, failureWeight, now)
-	case Lost:
-		chooser.recordOutcome(ended, 1, lossWeight, now)
-	}
-}
-
-// recordOutcome updates the failure rates of a target and of its service.
-func (chooser *Chooser) recordOutcome(ended Completion, failed, weight float64, now time.Time) {
-	if chooser.services == nil {
-		chooser.services = map[balsamproxy.ServiceID]*failureRate{}
-	}
-	service, found := chooser.services[ended.Service]
-	if !found {
-		service = &failureRate{at: now}
-		chooser.services[ended.Service] = service
-	}
-	service.observe(failed, serviceFailureWeight, 0, now)
-	chooser.targets[ended.Target].failures.observe(failed, weight, service.rate, now)
-}
-
-func (chooser *Chooser) recordLatency(route balsamproxy.RouteID, duration time.Duration, now time.Time) {
-	if chooser.routes == nil {
-		chooser.routes = map[balsamproxy.RouteID]latencyEstimate{}
-	}
-	chooser.routes[route] = chooser.routes[route].observe(duration, now)
-}
-
-// observe returns the estimate updated with one more response.
-func (estimate latencyEstimate) observe(duration time.Duration, now time.Time) latencyEstimate {
-	if estimate.at.IsZero() {
-		return latencyEstimate{mean: duration, at: now}
-	}
-	return latencyEstimate{mean: estimate.mean + time.Duration(float64(duration-estimate.mean)*latencyWeight), at: now}
-}
