Mesh: setting placement, with the policies lowest-cost and free-room

lowest-cost is the default and unchanged. Another value is refused at startup with the allowed ones.

--- a/core/settings/mesh.go
+++ b/core/settings/mesh.go
@@ -43,8 +43,21 @@
 	// MemoryMB is the memory limit of the process in megabytes; zero means none.
 	MemoryMB int    `json:"memory-mb,omitempty"`
 	LogLevel string `json:"log-level,omitempty"`
+	// Placement is the policy by which the targets of calls are selected.
+	Placement Placement `json:"placement,omitempty"`
 }
 
+// Placement names a policy of core/placement.
+type Placement string
+
+// Placement policies.
+const (
+	// PlacementLowestCost selects the target with the lowest expected cost.
+	PlacementLowestCost Placement = "lowest-cost"
+	// PlacementFreeRoom distributes calls by the free room of the targets.
+	PlacementFreeRoom Placement = "free-room"
+)
+
 // DefaultMeshStorePrefix is the default of Mesh.StorePrefix.
 const DefaultMeshStorePrefix = "balsamproxy/"
 
@@ -52,7 +65,7 @@
 // are absent. It returns all faults found; the settings are usable only if there
 // are none.
 func ParseMesh(data []byte) (Mesh, strictjson.Faults) {
-	mesh := Mesh{StorePrefix: DefaultMeshStorePrefix, LogLevel: DefaultLogLevel}
+	mesh := Mesh{StorePrefix: DefaultMeshStorePrefix, LogLevel: DefaultLogLevel, Placement: PlacementLowestCost}
 	faults := strictjson.Decode(data, &mesh)
 	if len(faults) > 0 {
 		return mesh, faults
@@ -85,6 +98,9 @@
 		faults.Add("/memory-mb", "%d is below 0", mesh.MemoryMB)
 	}
 	checkLogLevel(&faults, mesh.LogLevel)
+	if mesh.Placement != PlacementLowestCost && mesh.Placement != PlacementFreeRoom {
+		faults.Add("/placement", "%q is neither %q nor %q", mesh.Placement, PlacementLowestCost, PlacementFreeRoom)
+	}
 	return faults
 }
 
--- a/core/settings/mesh_test.go
+++ b/core/settings/mesh_test.go
@@ -28,6 +28,9 @@
 		"duration that is a number": {`"6s"`, `6`, []string{"/shutdown-grace"}},
 		"zero duration":             {`"5000ms"`, `"0s"`, []string{"/withdrawal-bound"}},
 		"invalid name":              {`"venues"`, `"No Name"`, []string{"/service"}},
+		"placement by free room":    {`"host":`, `"placement": "free-room", "host":`, nil},
+		"unknown placement":         {`"host":`, `"placement": "random", "host":`, []string{"/placement"}},
+		"empty placement":           {`"host":`, `"placement": "", "host":`, []string{"/placement"}},
 		"ratio above 1":             {`ratio": 0.2`, `ratio": 2`, []string{"/repeat-ratio"}},
 	}
 	for name, test := range cases {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -38,7 +38,7 @@
 	Evidence  *evidence.Evidence
 	Allowance balsamproxy.Allowance
 	Members   *membership.Table
-	Chooser   *placement.Chooser
+	Chooser   placement.Policy
 	Split     *placement.Split
 	Budget    *budget.Budget
 	Local     balsamproxy.Forwarder
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -126,9 +126,10 @@
 			return transaction.chooseFullTarget()
 		}
 		endpoints := entry.Members.Endpoints(transaction.service)
-		endpoint, found := entry.Chooser.Choose(endpoints, transaction.placementCall(), entry.Random, now)
+		choice, found := entry.Chooser.Choose(endpoints, transaction.placementCall(), entry.Random, now)
 		if found {
-			return endpoint, transaction.maxWait(endpoints), nil
+			entry.recordChoice(choice)
+			return choice.Endpoint, transaction.maxWait(choice, endpoints), nil
 		}
 		if attempts.fullCount > 0 {
 			return transaction.chooseFullTarget()
@@ -160,8 +161,11 @@
 }
 
 // maxWait returns the maximum wait at the next target. It is short while there
-// are other targets to try.
-func (transaction *transaction) maxWait(endpoints []membership.Endpoint) time.Duration {
+// are other targets to try, and zero if one of them probably has a free slot.
+func (transaction *transaction) maxWait(choice placement.Choice, endpoints []membership.Endpoint) time.Duration {
+	if choice.Handover {
+		return 0
+	}
 	if transaction.nested {
 		return nestedMaxWait
 	}
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -278,7 +278,7 @@
 		Evidence:  &daemon.evidence,
 		Allowance: daemon.spender,
 		Members:   &daemon.table,
-		Chooser:   &placement.Chooser{DataCentre: daemon.settings.DataCentre},
+		Chooser:   daemon.placement(),
 		Split:     &placement.Split{},
 		Budget:    &daemon.budget,
 		Local:     daemon.local,
@@ -296,6 +296,14 @@
 	daemon.callers = &http1.Server{Handler: daemon.entry}
 }
 
+// placement returns the policy by which the targets of calls are selected.
+func (daemon *Daemon) placement() placement.Policy {
+	if daemon.settings.Placement == settings.PlacementFreeRoom {
+		return &placement.FreeRoom{DataCentre: daemon.settings.DataCentre}
+	}
+	return &placement.Chooser{DataCentre: daemon.settings.DataCentre}
+}
+
 // status returns the status that this daemon sends to peers.
 func (daemon *Daemon) status() balsamproxy.Status {
 	return balsamproxy.Status{
