Placement: tests of the shares by free room, of moved callers and of handover

A call is turned away for another target at most once, so that nested calls wait as long as before if the reports are wrong. Targets in other data centres are not weighed by lateness if there are none, which sent all calls to the first target.

--- a/core/placement/balance_result_test.go
+++ b/core/placement/balance_result_test.go
@@ -47,6 +47,16 @@
 
 func (result result) share(count int) float64 { return float64(count) / float64(max(result.calls, 1)) }
 
+// remoteShares returns the shares of the calls that left their data centre, for
+// each of the given seconds.
+func (result result) remoteShares(from, to int) []float64 {
+	var shares []float64
+	for _, counts := range result.seconds[from:to] {
+		shares = append(shares, float64(counts.remote)/float64(max(counts.calls, 1)))
+	}
+	return shares
+}
+
 // String returns a row of the table in docs/design/even-load.md.
 func (result result) String() string {
 	return fmt.Sprintf("ratio %.2f (p99 %.2f) blocked %5.2f %% waits %5.2f %% refused %5.2f %% time %4.0f ms (p99 %4.0f) remote %4.1f %%",
--- a/core/placement/free_room.go
+++ b/core/placement/free_room.go
@@ -173,7 +173,7 @@
 	if weighing.hasLocal {
 		smoothed := room.localLevel(endpoints[0].Target.Service, weighing.local, len(call.Excluded) == 0, now)
 		weighing.level = (smoothed + leastHealthy) / (local.healthy/local.slots + leastHealthy)
-		weighing.setSpill(call, local.missProbability(call.Objective)-remote.missProbability(call.Objective))
+		weighing.setSpill(call, local, remote)
 	}
 	total := 0.0
 	for index := range room.candidates {
@@ -188,7 +188,11 @@
 		total += candidate.weight
 	}
 	best := room.mostCredit(total)
-	return room.choice(endpoints, best, weighing.hasLocal), true
+	choice := room.choice(endpoints, best, weighing.hasLocal)
+	// A call is turned away at most once, so that it waits as patiently as it would
+	// otherwise if the reports are wrong.
+	choice.Handover = len(call.Tried) == 0 && room.hasOtherRoom(best)
+	return choice, true
 }
 
 // distanceCost returns the cost of leaving the data centre with a call.
@@ -244,6 +248,9 @@
 
 // health returns the factor by which failures reduce the weight of a target.
 func (stats *targetStats) health(baseline float64, now time.Time) float64 {
+	if stats.failures.rate <= 0 {
+		return 1
+	}
 	excess := stats.failures.decayed(baseline, now) - baseline
 	if excess <= 0 {
 		return 1
@@ -282,13 +289,16 @@
 	now  time.Time
 }
 
-// setSpill sets the preference of remote targets, given by how much likelier a
-// call is to miss its objective at a local target.
-func (weighing *weighing) setSpill(call Call, lateness float64) {
+// setSpill sets the preference of remote targets.
+func (weighing *weighing) setSpill(call Call, local, remote group) {
+	if remote.slots == 0 {
+		return
+	}
 	cost := distanceCost(call)
 	// The threshold approaches 1 with the cost of the traffic.
 	threshold := 1 - (1-spillThreshold)*remoteCost/cost
 	weighing.spill = min(max((weighing.level-threshold)/(1-threshold), 0), 1) * spillGain
+	lateness := local.missProbability(call.Objective) - remote.missProbability(call.Objective)
 	weighing.late = min(max(lateness-cost, 0)*latenessGain, 1)
 }
 
@@ -302,8 +312,8 @@
 	if candidate.reported {
 		// The calls of the report end after about their mean latency, and other hosts
 		// replace them by the same rules, which bring all targets to the same level.
-		lasting := math.Exp(-float64(weighing.now.Sub(candidate.loadAt)) / float64(max(weighing.mean, defaultLatency)))
-		utilization = expected + (candidate.utilization-expected)*lasting
+		age := float64(weighing.now.Sub(candidate.loadAt)) / float64(max(weighing.mean, defaultLatency))
+		utilization = expected + (candidate.utilization-expected)/(1+age+age*age/2)
 	}
 	candidate.utilization = utilization
 	weight := candidate.slots * candidate.speedFactor(expected, weighing.now) * candidate.health
@@ -322,12 +332,15 @@
 // speedFactor returns the factor by which the weight of a target differs from
 // that of one with the mean speed.
 func (stats *targetStats) speedFactor(utilization float64, now time.Time) float64 {
-	if stats.slowness == 0 {
+	switch {
+	case stats.slowness == 0:
 		return 1
+	case stats.slowness <= 1:
+		return 1 / stats.slowness
 	}
 	exponent := min(max(1+speedSlope*(1-utilization), 1), maxSpeedExponent)
 	exponent *= float64(slownessAge) / float64(slownessAge+now.Sub(stats.slownessAt))
-	return math.Pow(max(stats.slowness, 1), 1-exponent) / stats.slowness
+	return math.Pow(stats.slowness, -exponent)
 }
 
 // mostCredit gives each candidate its share of one call as credit, and takes the
@@ -355,12 +368,16 @@
 	case !best.local:
 		choice.Reason = ReasonNoLocal
 	}
+	return choice
+}
+
+// hasOtherRoom reports whether another candidate probably has a free slot.
+func (room *FreeRoom) hasOtherRoom(chosen *candidate) bool {
 	for index := range room.candidates {
 		other := &room.candidates[index]
-		if other != best && other.utilization < nearlyFull && other.health > handoverHealth {
-			choice.Handover = true
-			break
+		if other != chosen && other.utilization < nearlyFull && other.health > handoverHealth {
+			return true
 		}
 	}
-	return choice
+	return false
 }
