Entry, settings: tests of the wait with each placement policy

The attempts of a request are checked with both policies. With free-room the first target does not queue a call while another one has room, later ones wait as with lowest-cost.

--- a/core/settings/mesh_test.go
+++ b/core/settings/mesh_test.go
@@ -43,6 +43,11 @@
 			assert.DeepEqual(t, pointers, test.pointers)
 			if len(faults) == 0 {
 				assert.Equal(t, time.Duration(mesh.WithdrawalBound), 5*time.Second)
+				want := settings.PlacementLowestCost
+				if strings.Contains(test.new, "free-room") {
+					want = settings.PlacementFreeRoom
+				}
+				assert.Equal(t, mesh.Placement, want)
 			}
 		})
 	}
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -174,10 +174,42 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			script := &script{steps: test.steps}
-			response := send(newEntry(script, test.retryBudget), test.path, "secret")
-			assert.Equal(t, response.Status, test.status)
-			assert.Equal(t, len(script.calls), test.calls)
+			for _, policy := range []placement.Policy{&placement.Chooser{}, &placement.FreeRoom{}} {
+				script := &script{steps: test.steps}
+				handler := newEntry(script, test.retryBudget)
+				handler.Chooser = policy
+				response := send(handler, test.path, "secret")
+				assert.Equal(t, response.Status, test.status, "%T", policy)
+				assert.Equal(t, len(script.calls), test.calls, "%T", policy)
+			}
+		})
+	}
+}
+
+// TestHandover checks how long targets may queue the attempts of a request. It
+// guards against a call that waits beside a free slot, and against one that is
+// turned away again and again.
+func TestHandover(t *testing.T) {
+	full := step{refusal: balsamproxy.NotRun(balsamproxy.ReasonOverloaded, "")}
+	cases := map[string]struct {
+		policy placement.Policy
+		// waits tells for each attempt whether it may be queued.
+		waits []bool
+	}{
+		"lowest cost": {&placement.Chooser{}, []bool{true, true, true}},
+		"free room":   {&placement.FreeRoom{}, []bool{false, true, true}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			script := &script{steps: []step{full, full, {status: 200}}}
+			handler := newEntry(script, 0)
+			handler.Chooser = test.policy
+			assert.Equal(t, send(handler, "/look/", "secret").Status, http.StatusOK)
+			var waits []bool
+			for _, call := range script.calls {
+				waits = append(waits, call.MaxQueueWait > 0)
+			}
+			assert.DeepEqual(t, waits, test.waits)
 		})
 	}
 }
