--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -42,7 +42,7 @@
 	Members   *membership.Table
 	// Evacuations holds the data centres whose targets receive no work.
 	Evacuations *evacuation.Table
-	Chooser     *placement.Chooser
+	Chooser     placement.Policy
 	Split       *placement.Split
 	Budget      *budget.Budget
 	Local       balsamproxy.Forwarder
