--- a/core/evidence/evidence.go
+++ b/core/evidence/evidence.go
@@ -38,6 +38,9 @@
 	mutex       sync.RWMutex
 	confirmedAt balsamproxy.BootTime
 	confirmed   bool
+	// notBefore is when the store last came back from an older copy. A read that
+	// started earlier may have found what the copy has.
+	notBefore balsamproxy.BootTime
 }
 
 // Confirm records that a read which started at began found no later revision
@@ -45,12 +48,24 @@
 func (evidence *Evidence) Confirm(began balsamproxy.BootTime) {
 	evidence.mutex.Lock()
 	defer evidence.mutex.Unlock()
+	if began < evidence.notBefore {
+		return
+	}
 	if !evidence.confirmed || began > evidence.confirmedAt {
 		evidence.confirmedAt = began
 		evidence.confirmed = true
 	}
 }
 
+// StartOver records that the store has come back from an older copy, as seen at now. Reads
+// that started earlier confirm nothing from then on. What they have confirmed before stays
+// valid until its age ends it: the store had no later revision then.
+func (evidence *Evidence) StartOver(now balsamproxy.BootTime) {
+	evidence.mutex.Lock()
+	defer evidence.mutex.Unlock()
+	evidence.notBefore = max(evidence.notBefore, now)
+}
+
 // Age returns the age of the latest confirmation, and false if there is none.
 func (evidence *Evidence) Age(now balsamproxy.BootTime) (time.Duration, bool) {
 	evidence.mutex.RLock()
--- a/core/homes/ranks.go
+++ b/core/homes/ranks.go
@@ -28,6 +28,10 @@
 	// record of a tenure is gone. For that long its holder may continue on
 	// promises of the backup during an outage of the store.
 	NonBackupDelay = 3 * time.Second
+	// FormerEraDelay is how long after a daemon has seen an era of the store a home of
+	// an earlier one may continue: the time to live of its lease and, if it cannot
+	// reach the store, NonBackupDelay.
+	FormerEraDelay = 4500 * time.Millisecond
 )
 
 // Rank returns the position of a host in the order of preference for a group
@@ -61,8 +65,9 @@
 
 // Tenure is the record in the store of the home of one group.
 type Tenure struct {
-	Host        balsamproxy.HostID `json:"host"`
-	Incarnation string             `json:"incarnation"`
+	Host        balsamproxy.HostID   `json:"host"`
+	Incarnation string               `json:"incarnation"`
+	Era         balsamproxy.StoreEra `json:"era,omitempty"`
 }
 
 // PreviousHome is the last known home of a group whose tenure has ended.
@@ -73,6 +78,8 @@
 	Backup balsamproxy.HostID `json:"backup,omitempty"`
 	// Closed is set if the home ended its tenure itself.
 	Closed bool `json:"closed,omitempty"`
+	// Era is the era of the store in which the home had the tenure.
+	Era balsamproxy.StoreEra `json:"era,omitempty"`
 }
 
 // Candidate is the state from which a daemon decides whether to acquire a
@@ -91,14 +98,24 @@
 	// Promised is set while this daemon has promised not to acquire the
 	// tenure.
 	Promised bool
+	// FormerEra is set if no home of the present era of the store is known, so that
+	// there may be one of an earlier era whose records are lost. This daemon has
+	// seen the present era for InEraFor.
+	FormerEra bool
+	InEraFor  time.Duration
 }
 
 // ShouldTake reports whether a daemon that does not hold the tenure of a group
 // should try to acquire it. It should at once if its own host was the last
 // holder, in an earlier run or under a lease that it could not renew in time,
 // or if it is the backup. Any other daemon waits until the last home must have
-// stopped and the daemons ranked before it have had their chance.
+// stopped and the daemons ranked before it have had their chance. After the store
+// came back from an older copy, every daemon waits until a home that does not know of it
+// must have stopped.
 func ShouldTake(group allowance.Group, candidate Candidate) bool {
+	if candidate.FormerEra && candidate.InEraFor < FormerEraDelay {
+		return false
+	}
 	if candidate.Tenure != nil {
 		return candidate.Tenure.Host == candidate.Host
 	}
--- a/core/homes/ranks_test.go
+++ b/core/homes/ranks_test.go
@@ -52,11 +52,17 @@
 		// The host could not renew its lease in time, but the record still exists.
 		"held under a lease that was not renewed": {homes.Candidate{Host: preferred, Tenure: &homes.Tenure{Host: preferred, Incarnation: "now"}}, true},
 
-		"home gone, backup":                           {homes.Candidate{Host: other, PreviousHome: previous, Uptime: running}, true},
-		"home gone, backup that has promised":         {homes.Candidate{Host: other, PreviousHome: previous, Uptime: running, Promised: true}, false},
-		"home gone, backup that just started":         {homes.Candidate{Host: other, PreviousHome: previous, Uptime: homes.PromiseValidity}, false},
-		"home gone, other host at once":               {homes.Candidate{Host: preferred, PreviousHome: previous, Uptime: running}, false},
-		"home gone for long, other host":              {homes.Candidate{Host: preferred, PreviousHome: previous, Uptime: running, FreeFor: homes.NonBackupDelay}, true},
+		"home gone, backup":                   {homes.Candidate{Host: other, PreviousHome: previous, Uptime: running}, true},
+		"home gone, backup that has promised": {homes.Candidate{Host: other, PreviousHome: previous, Uptime: running, Promised: true}, false},
+		"home gone, backup that just started": {homes.Candidate{Host: other, PreviousHome: previous, Uptime: homes.PromiseValidity}, false},
+		"home gone, other host at once":       {homes.Candidate{Host: preferred, PreviousHome: previous, Uptime: running}, false},
+		"home gone for long, other host":      {homes.Candidate{Host: preferred, PreviousHome: previous, Uptime: running, FreeFor: homes.NonBackupDelay}, true},
+		// The store has come back from a copy, and the record of the home is lost.
+		"home of an earlier era, ranked first":   {homes.Candidate{Host: preferred, FormerEra: true, FreeFor: time.Minute, InEraFor: homes.FormerEraDelay - 1}, false},
+		"home of an earlier era must have ended": {homes.Candidate{Host: preferred, FormerEra: true, FreeFor: time.Minute, InEraFor: homes.FormerEraDelay}, true},
+		"own tenure in an older copy":            {homes.Candidate{Host: other, FormerEra: true, Tenure: &homes.Tenure{Host: other, Incarnation: "old"}}, false},
+		"backup in an older copy":                {homes.Candidate{Host: other, FormerEra: true, PreviousHome: previous, Uptime: running, FreeFor: time.Minute}, false},
+
 		"home stopped, ranked first":                  {homes.Candidate{Host: preferred, PreviousHome: closed}, true},
 		"home stopped, ranked first but has promised": {homes.Candidate{Host: preferred, PreviousHome: closed, Promised: true}, false},
 		"own host held it, record gone":               {homes.Candidate{Host: preferred, PreviousHome: homes.PreviousHome{Host: preferred, Backup: other}}, true},
--- a/id.go
+++ b/id.go
@@ -51,6 +51,14 @@
 	return strconv.FormatInt(int64(revision), 10)
 }
 
+// StoreEra is a period between two returns of the store from an older copy. Zero
+// means that the era is not known or that the store does not report it; otherwise it is
+// one more than the number that the store reports, which may start at zero.
+type StoreEra int64
+
+// Number returns the number that the store reports for a known era.
+func (era StoreEra) Number() int64 { return int64(era) - 1 }
+
 // Priority orders calls under overload: calls of lower priority are shed before
 // calls of higher priority.
 type Priority uint8
--- a/member.go
+++ b/member.go
@@ -75,6 +75,9 @@
 	Backups []HostID `cbor:"11,keyasint,omitempty"`
 	// Crashes are the requests that were in flight when a target crashed.
 	Crashes []Crash `cbor:"9,keyasint,omitempty"`
+	// Era is the era of the store that the daemon has seen, in which it holds its
+	// tenures.
+	Era StoreEra `cbor:"12,keyasint,omitempty"`
 }
 
 // Crash records that a request was in flight when a target crashed.
--- a/store.go
+++ b/store.go
@@ -137,6 +137,24 @@
 	Changes(ctx context.Context, prefix StoreKey, after Revision, wait time.Duration) (StoreChanges, error)
 }
 
+// StoreEraReporter reports the era of the store. Whatever was written after the copy
+// from which the store came back is lost when the era rises, and revisions and leases are
+// issued again.
+//
+// A call whose era is not the highest one seen when its response arrives fails: with
+// ErrStoreCompacted if it waits for changes, with ErrStoreOutcomeUnknown if it writes,
+// and with ErrStoreUnavailable otherwise.
+type StoreEraReporter interface {
+	// Era returns the highest era seen, or zero if the store has reported none.
+	Era() StoreEra
+	// ObserveEra records an era that another client of the store has seen.
+	ObserveEra(era StoreEra)
+	// OnEra sets the function that is called once for each era, before any
+	// response of that era is returned. The former era is zero for the first one.
+	// It must be set before the first call to the store, and must not call it.
+	OnEra(changed func(former, current StoreEra))
+}
+
 // Store is the platform's key-value service with compare-and-swap, leases and
 // watches.
 type Store interface {
