Registry: drop tenures and write records again after a rise of the era

A home went on with a tenure that the store had lost, and another one could take the group at once: two homes after 0.1 s in TestTwoErasOneHome, in logical time, without EnterEra. A stopping daemon revokes no leases of an earlier era. Full bursts are not lent after a rise. The record of targets and the reading of records move to functions or files of their own.

--- a/io/lending/spender.go
+++ b/io/lending/spender.go
@@ -73,6 +73,16 @@
 	lender   allowance.Lender
 	mutex    sync.Mutex
 	openedAt map[balsamproxy.ClientAccountID]balsamproxy.BootTime
+	// fleetNotNew is set once the end of NewFleetUntil no longer matters.
+	fleetNotNew bool
+}
+
+// EndNewFleet ends the period of NewFleetUntil: allowance may have been spent in a tenure
+// whose record the store has lost.
+func (spender *Spender) EndNewFleet() {
+	spender.mutex.Lock()
+	defer spender.mutex.Unlock()
+	spender.fleetNotNew = true
 }
 
 // Spend takes the token for one request of an account, or returns a refusal. It
@@ -184,7 +194,7 @@
 		spender.openedAt = map[balsamproxy.ClientAccountID]balsamproxy.BootTime{}
 	}
 	spender.openedAt[account] = since
-	remainder := allowance.Remainder{Full: since < spender.NewFleetUntil}
+	remainder := allowance.Remainder{Full: since < spender.NewFleetUntil && !spender.fleetNotNew}
 	if !remainder.Full {
 		term := allowance.Term{Group: allowance.GroupOf(account), Since: since.Time()}
 		remainder = spender.Homes.Remainder(term, account)
--- a/io/registry/acquire.go
+++ b/io/registry/acquire.go
@@ -24,6 +24,7 @@
 // acquireTenures acquires the tenures that are due to this daemon.
 func (registry *Registry) acquireTenures(ctx context.Context) error {
 	present := registry.candidates()
+	begun := registry.currentEra()
 	for group := range allowance.Group(allowance.Groups) {
 		swap, due := registry.acquisitionSwap(group, present)
 		if !due {
@@ -36,11 +37,11 @@
 		swap.Lease = lease
 		err = registry.acquireTenure(ctx, group, swap)
 		if errors.Is(err, balsamproxy.ErrStoreConflict) {
-			registry.invalidateTenure(group)
+			registry.invalidateTenure(begun, group)
 			return nil
 		}
 		if errors.Is(err, balsamproxy.ErrStoreLeaseLost) {
-			registry.loseTenures(err)
+			registry.loseTenures(begun, err)
 		}
 		if err != nil {
 			return err
@@ -63,6 +64,8 @@
 		PreviousHome: registry.previousHomes[group],
 		FreeFor:      now.Sub(registry.freeSince[group]),
 		Promised:     now < registry.promised[group],
+		FormerEra:    registry.formerEraLocked(group),
+		InEraFor:     now.Sub(registry.era.since),
 	}
 	if registry.closedIncarnations[group] == candidate.PreviousHome.Incarnation {
 		candidate.PreviousHome.Closed = true
@@ -77,7 +80,7 @@
 	if !homes.ShouldTake(group, candidate) {
 		return balsamproxy.StoreSwap{}, false
 	}
-	value, err := json.Marshal(homes.Tenure{Host: registry.Host, Incarnation: registry.Incarnation})
+	value, err := json.Marshal(homes.Tenure{Host: registry.Host, Incarnation: registry.Incarnation, Era: registry.era.current})
 	if err != nil {
 		return balsamproxy.StoreSwap{}, false
 	}
@@ -88,12 +91,12 @@
 
 // invalidateTenure prevents another attempt to acquire a tenure that another
 // daemon has acquired until the records have been read again.
-func (registry *Registry) invalidateTenure(group allowance.Group) {
+func (registry *Registry) invalidateTenure(begun balsamproxy.StoreEra, group allowance.Group) {
 	defer registry.requestList()
-	registry.mutex.Lock()
-	defer registry.mutex.Unlock()
-	if registry.tenures == nil {
-		registry.tenures = map[allowance.Group]tenure{}
-	}
-	registry.tenures[group] = tenure{Tenure: homes.Tenure{Host: "(not read yet)"}}
+	_ = registry.inEra(begun, func() {
+		if registry.tenures == nil {
+			registry.tenures = map[allowance.Group]tenure{}
+		}
+		registry.tenures[group] = tenure{Tenure: homes.Tenure{Host: "(not read yet)"}}
+	})
 }
--- a/io/registry/leases.go
+++ b/io/registry/leases.go
@@ -31,14 +31,15 @@
 	start := registry.Clock.Boot()
 	registry.mutex.Lock()
 	lease, renewedAt, leaving := registry.hostLease, registry.hostRenewedAt, registry.leaving
+	begun := registry.era.current
 	registry.mutex.Unlock()
 	switch {
 	case leaving:
 		return nil
 	case lease == 0:
-		return registry.grantHostLease(ctx, start)
+		return registry.grantHostLease(ctx, begun, start)
 	case start.Sub(renewedAt) >= hostRenewInterval:
-		return registry.renewHost(ctx, lease, start)
+		return registry.renewHost(ctx, begun, lease, start)
 	}
 	return nil
 }
@@ -47,7 +48,7 @@
 func (registry *Registry) renewTenures(ctx context.Context) {
 	start := registry.Clock.Boot()
 	registry.mutex.Lock()
-	lease, holds := registry.lease, len(registry.held) > 0
+	lease, holds, begun := registry.lease, len(registry.held) > 0, registry.era.current
 	due := start.Sub(registry.renewedAt) >= renewInterval && start.Sub(registry.lastRenewalAttempt) >= minRenewInterval
 	if holds && lease != 0 && due {
 		registry.lastRenewalAttempt = start
@@ -62,70 +63,71 @@
 	switch {
 	case err == nil:
 		registry.recordStoreResult(nil)
-		registry.recordRenewal(lease, start)
+		registry.recordRenewal(begun, lease, start)
 	case errors.Is(err, balsamproxy.ErrStoreLeaseLost):
 		registry.recordStoreResult(nil)
-		registry.loseTenures(err)
+		registry.loseTenures(begun, err)
 	default:
 		registry.recordStoreResult(err)
 	}
 }
 
 // recordRenewal records a renewal, unless the lease has been replaced since.
-func (registry *Registry) recordRenewal(lease balsamproxy.LeaseID, start balsamproxy.BootTime) {
+func (registry *Registry) recordRenewal(begun balsamproxy.StoreEra, lease balsamproxy.LeaseID, start balsamproxy.BootTime) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
-	if registry.lease == lease {
+	if registry.lease == lease && registry.era.same(begun) {
 		registry.renewedAt = start
 	}
 }
 
-func (registry *Registry) grantHostLease(ctx context.Context, start balsamproxy.BootTime) error {
+func (registry *Registry) grantHostLease(ctx context.Context, begun balsamproxy.StoreEra, start balsamproxy.BootTime) error {
 	granted, err := registry.Store.Grant(ctx, hostLeaseTTL)
 	if err != nil {
 		return err
 	}
-	registry.setHostLease(granted, start)
-	return nil
+	return registry.setHostLease(begun, granted, start)
 }
 
-func (registry *Registry) renewHost(ctx context.Context, lease balsamproxy.LeaseID, start balsamproxy.BootTime) error {
+func (registry *Registry) renewHost(ctx context.Context, begun balsamproxy.StoreEra, lease balsamproxy.LeaseID, start balsamproxy.BootTime) error {
 	err := registry.Store.KeepAlive(ctx, lease)
 	switch {
 	case err == nil:
-		registry.setHostLease(lease, start)
+		return registry.setHostLease(begun, lease, start)
 	case errors.Is(err, balsamproxy.ErrStoreLeaseLost):
-		registry.loseHostLease(err)
+		registry.loseHostLease(begun, err)
 		return nil
 	}
 	return err
 }
 
-func (registry *Registry) setHostLease(lease balsamproxy.LeaseID, start balsamproxy.BootTime) {
-	registry.mutex.Lock()
-	defer registry.mutex.Unlock()
-	registry.hostLease = lease
-	registry.hostRenewedAt = start
-}
-
-func (registry *Registry) loseHostLease(cause error) {
-	registry.mutex.Lock()
-	registry.hostLease = 0
-	registry.published = 0
-	registry.mutex.Unlock()
-	registry.Log.Warn().Str("event", "lease-lost").Str("lease", "host").Err(cause).Send()
+func (registry *Registry) setHostLease(begun balsamproxy.StoreEra, lease balsamproxy.LeaseID, start balsamproxy.BootTime) error {
+	return registry.inEra(begun, func() {
+		registry.hostLease = lease
+		registry.hostRenewedAt = start
+	})
 }
 
-func (registry *Registry) setTenureLease(lease balsamproxy.LeaseID, start balsamproxy.BootTime) {
-	registry.mutex.Lock()
-	defer registry.mutex.Unlock()
-	registry.lease = lease
-	registry.renewedAt = start
+// loseHostLease drops the lease of the host, unless the era in which it was found to have
+// ended is over.
+func (registry *Registry) loseHostLease(begun balsamproxy.StoreEra, cause error) {
+	err := registry.inEra(begun, func() {
+		registry.hostLease = 0
+		registry.published = 0
+	})
+	if err == nil {
+		registry.Log.Warn().Str("event", "lease-lost").Str("lease", "host").Err(cause).Send()
+	}
 }
 
-// loseTenures drops all tenures whose lease has ended.
-func (registry *Registry) loseTenures(cause error) {
+// loseTenures drops all tenures whose lease has ended, unless the era in which that was
+// found is over.
+func (registry *Registry) loseTenures(begun balsamproxy.StoreEra, cause error) {
 	registry.mutex.Lock()
+	if !registry.era.same(begun) {
+		registry.mutex.Unlock()
+		return
+	}
 	registry.lease = 0
 	now := registry.Clock.Boot()
 	for group := range registry.held {
@@ -144,6 +146,7 @@
 	start := registry.Clock.Boot()
 	registry.mutex.Lock()
 	lease, renewedAt, holds := registry.lease, registry.renewedAt, len(registry.held) > 0
+	begun := registry.era.current
 	registry.mutex.Unlock()
 	if lease != 0 && (holds || start.Sub(renewedAt) < renewInterval) {
 		return lease, nil
@@ -152,8 +155,11 @@
 	if err != nil {
 		return 0, err
 	}
-	registry.setTenureLease(granted, start)
-	return granted, nil
+	err = registry.inEra(begun, func() {
+		registry.lease = granted
+		registry.renewedAt = start
+	})
+	return granted, err
 }
 
 // dropExpired drops the tenures once another daemon may have acquired them, so
@@ -161,13 +167,13 @@
 func (registry *Registry) dropExpired() {
 	now := registry.Clock.Boot()
 	registry.mutex.Lock()
-	expired := len(registry.held) > 0 && !registry.leaseValidLocked(now)
+	expired, begun := len(registry.held) > 0 && !registry.leaseValidLocked(now), registry.era.current
 	for group := range registry.held {
 		expired = expired && !registry.promiseValidLocked(group, now)
 	}
 	registry.mutex.Unlock()
 	if expired {
-		registry.loseTenures(errLeaseExpired)
+		registry.loseTenures(begun, errLeaseExpired)
 	}
 }
 
--- a/io/registry/list.go
+++ b/io/registry/list.go
@@ -94,26 +94,28 @@
 
 // list reads all records.
 func (registry *Registry) list(ctx context.Context, kind listKind) error {
+	registry.mutex.Lock()
+	registry.lastListAt = registry.Clock.Boot()
+	begun := registry.era.current
+	if registry.era.raised && !registry.listed {
+		kind = currentList
+	}
+	registry.mutex.Unlock()
 	read := registry.Store.RangeStale
 	if kind == currentList {
 		read = registry.Store.Range
 	}
-	registry.mutex.Lock()
-	registry.lastListAt = registry.Clock.Boot()
-	registry.mutex.Unlock()
 	snapshot, err := read(ctx, registry.Prefix)
 	if err != nil {
 		return err
 	}
-	members := map[balsamproxy.HostID]balsamproxy.Member{}
-	tenures := map[allowance.Group]tenure{}
-	previousHomes := map[allowance.Group]homes.PreviousHome{}
-	for _, entry := range snapshot.Entries {
-		if err := registry.classify(entry, members, tenures, previousHomes); err != nil {
-			registry.Log.Error().Str("event", "record-invalid").Str("key", string(entry.Key)).Err(err).Send()
-		}
-	}
+	members, tenures, previousHomes := registry.classifyAll(snapshot.Entries)
 	registry.mutex.Lock()
+	if !registry.era.same(begun) {
+		registry.mutex.Unlock()
+		return errEraRaised
+	}
+	registry.dropFormerErasLocked(tenures, previousHomes)
 	if kind == currentList {
 		registry.recordUnheldLocked(snapshot.Entries, tenures)
 	}
@@ -128,8 +130,9 @@
 		}
 	}
 	registry.previousHomes = previousHomes
+	list := registry.applyRecordsLocked(members, tenures)
 	registry.mutex.Unlock()
-	registry.MembersRead(registry.applyRecords(members, tenures))
+	registry.MembersRead(list)
 	return nil
 }
 
@@ -180,6 +183,21 @@
 	registry.unheld = unheldGroups
 }
 
+// classifyAll returns what the records contain, without those that are invalid.
+func (registry *Registry) classifyAll(entries []balsamproxy.StoreEntry) (
+	map[balsamproxy.HostID]balsamproxy.Member, map[allowance.Group]tenure, map[allowance.Group]homes.PreviousHome,
+) {
+	members := map[balsamproxy.HostID]balsamproxy.Member{}
+	tenures := map[allowance.Group]tenure{}
+	previousHomes := map[allowance.Group]homes.PreviousHome{}
+	for _, entry := range entries {
+		if err := registry.classify(entry, members, tenures, previousHomes); err != nil {
+			registry.Log.Error().Str("event", "record-invalid").Str("key", string(entry.Key)).Err(err).Send()
+		}
+	}
+	return members, tenures, previousHomes
+}
+
 var errInvalidRecord = errors.New("registry: host record names another host or has no valid peer address")
 
 func (registry *Registry) classify(
@@ -234,12 +252,10 @@
 	return allowance.Group(group), err
 }
 
-// applyRecords applies the records that were read. A host that is missing is
+// applyRecordsLocked applies the records that were read. A host that is missing is
 // kept for maxMissedLists reads, since its record may have expired during an
 // outage of the store.
-func (registry *Registry) applyRecords(members map[balsamproxy.HostID]balsamproxy.Member, tenures map[allowance.Group]tenure) []balsamproxy.Member {
-	registry.mutex.Lock()
-	defer registry.mutex.Unlock()
+func (registry *Registry) applyRecordsLocked(members map[balsamproxy.HostID]balsamproxy.Member, tenures map[allowance.Group]tenure) []balsamproxy.Member {
 	missedLists := map[balsamproxy.HostID]int{}
 	for host, member := range registry.members {
 		if _, found := members[host]; found {
--- a/io/registry/registry.go
+++ b/io/registry/registry.go
@@ -174,15 +174,7 @@
 	// reachableSince.
 	storeReachable bool
 	reachableSince balsamproxy.BootTime
-}
-
-// targetsRecord is the stored record of the targets of this host.
-type targetsRecord struct {
-	// mutex serializes writes.
-	mutex     sync.Mutex
-	revision  balsamproxy.Revision
-	lease     balsamproxy.LeaseID
-	grantedAt balsamproxy.BootTime
+	era            eraState
 }
 
 // unheld is a period in which a group has had no tenure. It began at since at the
@@ -306,6 +298,7 @@
 	}
 	expected := registry.recordRevision
 	registry.recordRevision = 0
+	begun := registry.era.current
 	registry.mutex.Unlock()
 	value, err := json.Marshal(registry.Record())
 	if err != nil {
@@ -313,15 +306,12 @@
 	}
 	revision, err := registry.overwrite(ctx, balsamproxy.StoreSwap{Key: registry.hostKey(), Value: value, Expected: expected, Lease: lease})
 	if errors.Is(err, balsamproxy.ErrStoreLeaseLost) {
-		registry.loseHostLease(err)
+		registry.loseHostLease(begun, err)
 	}
 	if err != nil {
 		return err
 	}
-	registry.mutex.Lock()
-	registry.published = revision
-	registry.mutex.Unlock()
-	return nil
+	return registry.inEra(begun, func() { registry.published = revision })
 }
 
 // overwrite writes a key that only this host writes, whatever its current
@@ -344,6 +334,7 @@
 func (registry *Registry) Leave(ctx context.Context) {
 	registry.mutex.Lock()
 	lease, hostLease := registry.lease, registry.hostLease
+	begun := registry.era.current
 	ending := []allowance.Group{}
 	for group := range registry.held {
 		ending = append(ending, group)
@@ -355,14 +346,15 @@
 	registry.mutex.Unlock()
 	if err := registry.handOver(ctx, ending); err != nil {
 		registry.Log.Warn().Str("event", "tenures-not-handed-over").Err(err).Send()
-		registry.revoke(ctx, lease)
+		registry.revoke(ctx, begun, lease)
 	}
 	registry.HomesChanged()
-	registry.revoke(ctx, hostLease)
+	registry.revoke(ctx, begun, hostLease)
 }
 
-func (registry *Registry) revoke(ctx context.Context, lease balsamproxy.LeaseID) {
-	if lease == 0 {
+// revoke ends a lease of an era. In a later one the lease may be another daemon's.
+func (registry *Registry) revoke(ctx context.Context, begun balsamproxy.StoreEra, lease balsamproxy.LeaseID) {
+	if lease == 0 || registry.inEra(begun, func() {}) != nil {
 		return
 	}
 	if err := registry.Store.Revoke(ctx, lease); err != nil {
@@ -370,56 +362,6 @@
 	}
 }
 
-// RecordTargets persists the last known state of the targets of this host.
-// After a restart the daemon then knows them, and sends no work to a target
-// that is leaving. It calls records when no other write is under way, so that an
-// earlier state never replaces a later one.
-func (registry *Registry) RecordTargets(ctx context.Context, records func() ([]byte, error)) error {
-	ctx, cancel := context.WithTimeout(ctx, targetsTimeout)
-	defer cancel()
-	targets := &registry.targets
-	targets.mutex.Lock()
-	defer targets.mutex.Unlock()
-	if now := registry.Clock.Boot(); targets.lease == 0 || now.Sub(targets.grantedAt) >= targetsLeaseReuse {
-		lease, err := registry.Store.Grant(ctx, targetsTTL)
-		if err != nil {
-			return err
-		}
-		targets.lease, targets.grantedAt = lease, now
-	}
-	value, err := records()
-	if err != nil {
-		return err
-	}
-	swap := balsamproxy.StoreSwap{Key: registry.targetsKey(), Value: value, Expected: targets.revision, Lease: targets.lease}
-	revision, err := registry.overwrite(ctx, swap)
-	if err != nil {
-		// The lease may be gone, and the write may have taken effect.
-		targets.lease = 0
-		return err
-	}
-	targets.revision = revision
-	return nil
-}
-
-// Targets returns what an earlier run of this daemon persisted with
-// RecordTargets, or nil if there is nothing.
-func (registry *Registry) Targets(ctx context.Context) ([]byte, error) {
-	if registry.FirstStart {
-		return nil, nil
-	}
-	entry, err := registry.Store.Get(ctx, registry.targetsKey())
-	if errors.Is(err, balsamproxy.ErrStoreNotFound) {
-		return nil, nil
-	}
-	if err == nil {
-		registry.targets.mutex.Lock()
-		registry.targets.revision = entry.Revision
-		registry.targets.mutex.Unlock()
-	}
-	return entry.Value, err
-}
-
 func hostFromKey(key, prefix balsamproxy.StoreKey) balsamproxy.HostID {
 	return balsamproxy.HostID(strings.TrimPrefix(string(key), string(prefix)))
 }
--- a/io/registry/status.go
+++ b/io/registry/status.go
@@ -13,6 +13,10 @@
 func (registry *Registry) ApplyStatus(status balsamproxy.Status) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
+	if status.Era < registry.era.current {
+		// It says nothing about tenures of this era.
+		return
+	}
 	for group, found := range registry.tenures {
 		if found.Host == status.Host && !slices.Contains(status.Homes, int(group)) {
 			if status.Stopping && found.Incarnation == status.Incarnation {
@@ -24,7 +28,7 @@
 	}
 	for index, home := range status.Homes {
 		group := allowance.Group(home)
-		previous := homes.PreviousHome{Host: status.Host, Incarnation: status.Incarnation}
+		previous := homes.PreviousHome{Host: status.Host, Incarnation: status.Incarnation, Era: status.Era}
 		if index < len(status.Backups) {
 			previous.Backup = status.Backups[index]
 		}
@@ -32,7 +36,7 @@
 		if registry.tenures == nil {
 			registry.tenures = map[allowance.Group]tenure{}
 		}
-		registry.tenures[group] = tenure{Tenure: homes.Tenure{Host: status.Host, Incarnation: status.Incarnation}}
+		registry.tenures[group] = tenure{Tenure: homes.Tenure{Host: status.Host, Incarnation: status.Incarnation, Era: status.Era}}
 		delete(registry.freeSince, group)
 	}
 }
@@ -44,7 +48,7 @@
 		registry.closedIncarnations = map[allowance.Group]string{}
 	}
 	registry.closedIncarnations[group] = tenure.Incarnation
-	registry.setPreviousHomeLocked(group, homes.PreviousHome{Host: tenure.Host, Incarnation: tenure.Incarnation, Closed: true})
+	registry.setPreviousHomeLocked(group, homes.PreviousHome{Host: tenure.Host, Incarnation: tenure.Incarnation, Closed: true, Era: tenure.Era})
 }
 
 // Holds reports whether this daemon is home of a group at an instant, and
--- a/io/registry/terms.go
+++ b/io/registry/terms.go
@@ -71,7 +71,7 @@
 // remainderSwap returns the write of the record of remaining tokens of a group
 // for this daemon.
 func (registry *Registry) remainderSwap(group allowance.Group, record remainderRecord, expected balsamproxy.Revision) (balsamproxy.StoreSwap, error) {
-	record.Host, record.Incarnation = registry.Host, registry.Incarnation
+	record.Host, record.Incarnation, record.Era = registry.Host, registry.Incarnation, registry.currentEra()
 	value, err := json.Marshal(record)
 	return balsamproxy.StoreSwap{Key: registry.remainderKey(group), Value: value, Expected: expected}, err
 }
@@ -84,11 +84,18 @@
 		return nil
 	}
 	defer registry.endAcquisition(group)
+	begun := registry.currentEra()
 	record, existing, err := registry.readRemainder(ctx, group)
 	if err != nil {
 		return err
 	}
-	registry.setPreviousHome(group, record.PreviousHome)
+	if begun != 0 && record.Era != begun {
+		// Another home may have used the tokens, in writes that are lost.
+		record = remainderRecord{}
+	}
+	if err := registry.inEra(begun, func() { registry.updatePreviousHomeLocked(group, record.PreviousHome) }); err != nil {
+		return err
+	}
 	if _, due := registry.acquisitionSwap(group, registry.candidates()); !due {
 		return nil
 	}
@@ -109,11 +116,13 @@
 	if !continues {
 		current = term{since: registry.Clock.Boot(), remainder: record.Tokens}
 		current.endedFor = registry.endedFor(group, record.PreviousHome, existing, current.since)
+		if formerEra, endedFor := registry.formerEraEndedFor(group, current.since); formerEra {
+			current.endedFor = endedFor
+		}
 	}
 	current.revision, current.tenureRevision, current.backup = revision, revision, next.Backup
 	current.promisedUntil = 0
-	registry.recordAcquired(group, current)
-	return nil
+	return registry.recordAcquired(begun, group, current)
 }
 
 // beginAcquisition prevents this daemon from giving a promise for a tenure
@@ -137,9 +146,7 @@
 	delete(registry.acquiring, group)
 }
 
-func (registry *Registry) setPreviousHome(group allowance.Group, previous homes.PreviousHome) {
-	registry.mutex.Lock()
-	defer registry.mutex.Unlock()
+func (registry *Registry) updatePreviousHomeLocked(group allowance.Group, previous homes.PreviousHome) {
 	registry.resetFreeSinceLocked(group, previous)
 	registry.setPreviousHomeLocked(group, previous)
 }
@@ -160,12 +167,17 @@
 	registry.previousHomes[group] = previous
 }
 
-func (registry *Registry) recordAcquired(group allowance.Group, current term) {
+// recordAcquired records a term that began in an era. The record of one that it does not
+// keep expires with its lease, which is not renewed.
+func (registry *Registry) recordAcquired(begun balsamproxy.StoreEra, group allowance.Group, current term) error {
 	registry.mutex.Lock()
+	if !registry.era.same(begun) {
+		registry.mutex.Unlock()
+		return errEraRaised
+	}
 	if registry.leaving {
-		// The record expires with its lease, which is no longer renewed.
 		registry.mutex.Unlock()
-		return
+		return nil
 	}
 	if registry.held == nil {
 		registry.held = map[allowance.Group]balsamproxy.BootTime{}
@@ -179,12 +191,13 @@
 		registry.tenures = map[allowance.Group]tenure{}
 	}
 	delete(registry.freeSince, group)
-	own := homes.Tenure{Host: registry.Host, Incarnation: registry.Incarnation}
+	own := homes.Tenure{Host: registry.Host, Incarnation: registry.Incarnation, Era: registry.era.current}
 	registry.tenures[group] = tenure{Tenure: own, revision: current.tenureRevision}
 	registry.mutex.Unlock()
 	registry.Log.Info().Str("event", "tenure-taken").Int("group", int(group)).Int64("revision", int64(current.revision)).
 		Int("accounts-with-floor", len(current.remainder)).Send()
 	registry.HomesChanged()
+	return nil
 }
 
 // endedFor returns how long the previous home of a group cannot have granted
@@ -225,6 +238,7 @@
 // handOver ends tenures and persists the remaining tokens of each for the next
 // home.
 func (registry *Registry) handOver(ctx context.Context, groups []allowance.Group) error {
+	begun := registry.currentEra()
 	for ending := range slices.Chunk(groups, maxHandOverBatch) {
 		transaction := balsamproxy.StoreTransaction{}
 		for _, group := range ending {
@@ -243,6 +257,10 @@
 				Key: registry.homeKey(group), Expected: current.tenureRevision,
 			})
 		}
+		// The revisions in the transaction are those of the era.
+		if err := registry.inEra(begun, func() {}); err != nil {
+			return err
+		}
 		if _, err := registry.Store.Transact(ctx, transaction); err != nil {
 			return err
 		}
--- a/io/registry/terms_test.go
+++ b/io/registry/terms_test.go
@@ -152,7 +152,7 @@
 // expireTenure removes the tenure's record and notifies its home.
 func (home home) expireTenure(store *fakeStore) {
 	delete(store.entries, home.homeKey(group))
-	home.loseTenures(errLeaseExpired)
+	home.loseTenures(home.currentEra(), errLeaseExpired)
 }
 
 func newFakeStore() *fakeStore {
