Daemon: follow the era of the store

The configuration was confirmed by an older version, and the record of a target's departure stayed lost: TestOlderConfigurationConfirmsNothing and TestRestoredStore failed before and pass. The follower starts its watch over, a version older than the one in force confirms nothing until the operator has written again, targets are recorded again, and the status and the answer with evidence carry the era, so that a daemon that cannot reach the store learns of it.

--- a/io/mesh/config.go
+++ b/io/mesh/config.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"balsamproxy"
 	"balsamproxy/core/config"
+	"balsamproxy/core/era"
 	"balsamproxy/core/evidence"
 	"balsamproxy/io/peer"
 	"balsamproxy/task"
@@ -67,6 +69,13 @@
 	// leaves it to the readers to confirm the configuration, once it has links to
 	// them.
 	stale balsamproxy.StoreStaleReader
+	// era returns the era of the store, or zero if it reports none. It may be nil.
+	era func() balsamproxy.StoreEra
+	// stored is the version last read from the store. Only run uses it.
+	stored balsamproxy.Revision
+	// lossy is the era of the store whose copy may lack versions of the configuration,
+	// until a read finds the one in force, or a later one. It is zero if there is none.
+	lossy atomic.Int64
 
 	mutex sync.Mutex
 	raw   []byte
@@ -76,7 +85,7 @@
 // ctx ends.
 func (follower *configFollower) run(ctx context.Context) error {
 	backoff := minStoreBackoff
-	after := balsamproxy.Revision(0)
+	var after era.Position
 	reachable := true
 	var failedAt balsamproxy.BootTime
 	if follower.stale != nil {
@@ -84,7 +93,7 @@
 	}
 	for ctx.Err() == nil {
 		if follower.relay.confirmByReader(ctx) {
-			after = 0
+			after = era.Position{}
 			task.Sleep(ctx, relayInterval)
 			continue
 		}
@@ -105,7 +114,7 @@
 			continue
 		}
 		if errors.Is(err, balsamproxy.ErrStoreCompacted) {
-			after = 0
+			after = era.Position{}
 			follower.log.Info().Str("event", "store-history-gone").Send()
 			continue
 		}
@@ -144,32 +153,71 @@
 	}
 }
 
-// poll reads the document if after is 0, and otherwise waits once for changes
-// after that revision. It returns the revision to continue from.
-func (follower *configFollower) poll(ctx context.Context, after balsamproxy.Revision) (balsamproxy.Revision, error) {
+// storeEra returns the era of the store, or zero if it reports none.
+func (follower *configFollower) storeEra() balsamproxy.StoreEra {
+	if follower.era == nil {
+		return 0
+	}
+	return follower.era()
+}
+
+// poll waits once for changes after a position, or reads the document if it cannot
+// continue from there. It returns the position to continue from.
+func (follower *configFollower) poll(ctx context.Context, after era.Position) (era.Position, error) {
 	start := follower.clock.Boot()
-	if after == 0 {
-		snapshot, err := follower.reader.Range(ctx, follower.key)
-		if err != nil {
-			return 0, err
-		}
-		for _, entry := range snapshot.Entries {
-			follower.applyEntry(entry)
-		}
-		follower.confirm(start)
-		return snapshot.Revision, nil
+	begun := follower.storeEra()
+	if !after.Continues(begun) {
+		return follower.read(ctx, begun, start)
 	}
-	changes, err := follower.store.Changes(ctx, follower.key, after, pollTimeout)
+	changes, err := follower.store.Changes(ctx, follower.key, after.Revision, pollTimeout)
 	if err != nil {
 		return after, err
 	}
+	if follower.storeEra() != begun {
+		// The revision may have been used in an era that it does not belong to.
+		return era.Position{}, nil
+	}
 	for _, event := range changes.Events {
 		if !event.Deleted {
 			follower.applyEntry(event.Entry)
 		}
 	}
+	follower.confirmRead(begun, start)
+	return era.Position{Era: begun, Revision: changes.Revision}, nil
+}
+
+// read reads the document. It started in an era.
+func (follower *configFollower) read(ctx context.Context, begun balsamproxy.StoreEra, start balsamproxy.BootTime) (era.Position, error) {
+	snapshot, err := follower.reader.Range(ctx, follower.key)
+	if err != nil {
+		return era.Position{}, err
+	}
+	position := era.Position{Era: follower.storeEra(), Revision: snapshot.Revision}
+	if !era.Same(begun, position.Era, follower.lossy.Load() != 0) {
+		// The revision may be of the earlier era.
+		return era.Position{}, nil
+	}
+	follower.stored = 0
+	for _, entry := range snapshot.Entries {
+		follower.applyEntry(entry)
+	}
+	follower.confirmRead(position.Era, start)
+	return position, nil
+}
+
+// enterEra records that the store has come back from an older copy.
+func (follower *configFollower) enterEra(current balsamproxy.StoreEra) {
+	follower.evidence.StartOver(follower.clock.Boot())
+	follower.lossy.Store(int64(current))
+}
+
+// confirmRead confirms the configuration with a read in an era that started at start.
+func (follower *configFollower) confirmRead(begun balsamproxy.StoreEra, start balsamproxy.BootTime) {
+	if !era.Confirms(follower.stored, follower.version(), follower.lossy.Load() != 0) {
+		return
+	}
+	follower.lossy.CompareAndSwap(int64(begun), 0)
 	follower.confirm(start)
-	return changes.Revision, nil
 }
 
 func (follower *configFollower) confirm(start balsamproxy.BootTime) {
@@ -180,18 +228,20 @@
 
 func (follower *configFollower) applyEntry(entry balsamproxy.StoreEntry) {
 	if entry.Key == follower.key {
-		follower.apply(entry.Value, sourceStore)
+		follower.stored = follower.apply(entry.Value, sourceStore)
 	}
 }
 
 // apply puts a document into force unless it cannot be decoded or is not newer
-// than the current one.
-func (follower *configFollower) apply(raw []byte, source string) {
+// than the current one. It returns the version of the document, or the one in force if
+// it cannot be decoded.
+func (follower *configFollower) apply(raw []byte, source string) balsamproxy.Revision {
 	document, version, err := follower.decode(raw)
 	if err != nil {
+		inForce := follower.version()
 		follower.log.Error().Str("event", "configuration-unreadable").Str("source", source).
-			Int64("in-force", int64(follower.version())).Err(err).Send()
-		return
+			Int64("in-force", int64(inForce)).Err(err).Send()
+		return inForce
 	}
 	follower.mutex.Lock()
 	first := follower.current.Index() == nil
@@ -201,7 +251,7 @@
 	}
 	follower.mutex.Unlock()
 	if !updated {
-		return
+		return version
 	}
 	follower.log.Info().Str("event", "configuration-in-force").Str("source", source).Int64("version", int64(version)).
 		Int("routes", len(document.Routes)).Int("accounts", len(document.ClientAccounts)).Send()
@@ -213,6 +263,7 @@
 	case first:
 		follower.onFirst()
 	}
+	return version
 }
 
 func (follower *configFollower) version() balsamproxy.Revision {
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -22,7 +21,6 @@
 
 	"balsamproxy"
 	"balsamproxy/core/allowance"
-	"balsamproxy/core/announced"
 	"balsamproxy/core/budget"
 	"balsamproxy/core/config"
 	"balsamproxy/core/evidence"
@@ -71,7 +69,9 @@
 
 // Platform adapts the daemon to the platform that it runs on.
 type Platform struct {
-	Store   registry.Store
+	Store registry.Store
+	// Eras reports the era of the store. It may be nil.
+	Eras    balsamproxy.StoreEraReporter
 	Dialect balsamproxy.Dialect
 	// ConfigKey is the store key of the configuration, and Decode parses its
 	// value.
@@ -121,6 +121,8 @@
 	announceWakeup chan struct{}
 	laterWakeup    chan struct{}
 	fetches        chan balsamproxy.HostID
+	// eraRaised is signalled when the targets have to be recorded again.
+	eraRaised chan struct{}
 }
 
 // NewMetrics returns a metrics scope, its closer and the HTTP handler that
@@ -153,6 +155,7 @@
 		announceWakeup: make(chan struct{}, 1),
 		laterWakeup:    make(chan struct{}, 1),
 		fetches:        make(chan balsamproxy.HostID, 1),
+		eraRaised:      make(chan struct{}, 1),
 	}
 	daemon.metrics, daemon.metricsCloser, daemon.metricsExporter = NewMetrics(log)
 	daemon.platform = platform(daemon.metrics)
@@ -245,6 +248,7 @@
 		onChange: daemon.announce,
 		onFirst:  daemon.announceLater,
 		log:      daemon.log,
+		era:      daemon.era,
 	}
 	if daemon.settings.FirstStart {
 		daemon.follower.stale = daemon.platform.Store
@@ -267,6 +271,9 @@
 		daemon.spender.NewFleetUntil = daemon.clock.Boot() + balsamproxy.BootTime(fleetStartWindow)
 	}
 	daemon.spender.Serve(daemon.peerServer)
+	if daemon.platform.Eras != nil {
+		daemon.platform.Eras.OnEra(daemon.enterEra)
+	}
 }
 
 func (daemon *Daemon) wireRequestPath() {
@@ -310,16 +317,7 @@
 		Homes:       daemon.registry.Held(),
 		Backups:     daemon.registry.Backups(),
 		Crashes:     daemon.crashes.recent(daemon.clock.Now()),
-	}
-}
-
-// recordTargets stores the announcements of the targets of this host. They are
-// acknowledged afterwards, or without a record if the store does not answer in
-// time.
-func (daemon *Daemon) recordTargets(records func() []announced.Record) {
-	err := daemon.registry.RecordTargets(context.Background(), func() ([]byte, error) { return json.Marshal(records()) })
-	if err != nil {
-		daemon.log.Warn().Str("event", "targets-not-recorded").Err(err).Send()
+		Era:         daemon.era(),
 	}
 }
 
@@ -329,6 +327,7 @@
 }
 
 func (daemon *Daemon) handleStatus(status balsamproxy.Status) {
+	status = daemon.inPresentEra(status)
 	daemon.view.update(status)
 	daemon.crashes.merge(status.Crashes, daemon.clock.Now())
 	daemon.registry.ApplyStatus(status)
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"balsamproxy"
+	"balsamproxy/core/era"
 	"balsamproxy/core/evidence"
 	"balsamproxy/io/peer"
 )
@@ -40,6 +41,8 @@
 	Known   bool                 `cbor:"1,keyasint"`
 	Age     time.Duration        `cbor:"2,keyasint"`
 	Version balsamproxy.Revision `cbor:"3,keyasint"`
+	// Era is the era of the store that the peer has seen, or zero.
+	Era balsamproxy.StoreEra `cbor:"4,keyasint,omitempty"`
 }
 
 // relay obtains evidence from peers, so that only one daemon has to read the
@@ -58,7 +61,7 @@
 	peer.Handle(server, kindEvidence, func(context.Context, balsamproxy.HostID, evidenceRequest) (evidenceResponse, error) {
 		follower := relay.follower
 		age, known := follower.evidence.Age(follower.clock.Boot())
-		return evidenceResponse{Known: known, Age: age, Version: follower.version()}, nil
+		return evidenceResponse{Known: known, Age: age, Version: follower.version(), Era: follower.storeEra()}, nil
 	})
 }
 
@@ -123,13 +126,13 @@
 	askCtx, cancel := context.WithTimeout(ctx, relayTimeout)
 	answer, err := peer.Ask[evidenceRequest, evidenceResponse](askCtx, relay.pool, host, kindEvidence, evidenceRequest{})
 	cancel()
-	if err != nil || !answer.Known || answer.Age >= limit {
+	if err != nil || !answer.Known || answer.Age >= limit || answer.Era < follower.storeEra() {
 		return false
 	}
 	if answer.Version > follower.version() {
 		follower.fetch(ctx, relay.pool, host)
 	}
-	if answer.Version > follower.version() {
+	if answer.Version > follower.version() || !era.Confirms(answer.Version, follower.version(), follower.lossy.Load() != 0) {
 		return false
 	}
 	follower.evidence.Confirm(start - balsamproxy.BootTime(answer.Age))
--- a/io/mesh/run.go
+++ b/io/mesh/run.go
@@ -109,7 +109,7 @@
 	running.startTask(func(ctx context.Context) error {
 		daemon.recallTargets(ctx)
 		running.serve(newServer(daemon.platform.Announcements(daemon.local)), listeners[2])
-		return nil
+		return daemon.recordTargetsAgain(ctx)
 	})
 	running.serve(newServer(daemon.readyHandler()), listeners[3])
 	if len(listeners) > 4 {
--- a/io/mesh/view.go
+++ b/io/mesh/view.go
@@ -268,3 +268,10 @@
 	host, found := view.homes[group]
 	return host, found
 }
+
+// forgetHomes drops the announced homes, until the hosts announce them again.
+func (view *view) forgetHomes() {
+	view.mutex.Lock()
+	defer view.mutex.Unlock()
+	view.homes = map[allowance.Group]balsamproxy.HostID{}
+}
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -88,7 +88,7 @@
 			Str("state", string(announcement.Target.State)).Int64("born", announcement.Born).
 			Int64("sequence", announcement.Sequence).Int("slots", announcement.Target.Slots).Send()
 		local.Changed()
-		local.Record(local.records)
+		local.Record(local.Records)
 	}
 	return nil
 }
@@ -110,7 +110,7 @@
 	event.Send()
 	if changed {
 		local.Changed()
-		local.Record(local.records)
+		local.Record(local.Records)
 	}
 	return nil
 }
@@ -210,7 +210,8 @@
 	return targets
 }
 
-func (local *Local) records() []announced.Record {
+// Records returns the announcements of the targets, as they are persisted.
+func (local *Local) Records() []announced.Record {
 	local.mutex.Lock()
 	defer local.mutex.Unlock()
 	return local.table.Records()
