--- a/cmd/balsamproxy-soak/main.go
+++ b/cmd/balsamproxy-soak/main.go
@@ -25,6 +25,7 @@
 	FaultDuration time.Duration `long:"lasts" default:"20s" description:"how long faults begin, for each seed"`
 	Daemons       int           `long:"daemons" default:"6" description:"number of daemons"`
 	Callers       int           `long:"callers" default:"12" description:"number of callers"`
+	RestoreStore  bool          `long:"restore-store" description:"also restore the store from old copies"`
 	Program       string        `long:"program" description:"the program under test; built from this module if not given"`
 	Logs          string        `long:"logs" description:"directory for settings and logs; a temporary one if not given"`
 }
@@ -91,6 +92,7 @@
 		}
 		report, err := soak.Run(ctx, soak.Options{
 			Program: program, Directory: logs, Seed: seed, FaultDuration: options.FaultDuration, Daemons: options.Daemons, Callers: options.Callers,
+			RestoreStore: options.RestoreStore,
 		})
 		if err != nil {
 			return failed, err
