--- a/core/evacuation/table.go
+++ b/core/evacuation/table.go
@@ -2,7 +2,8 @@
 // targets receive no work until the evacuation is taken back.
 //
 // Daemons learn of evacuations from the store and from each other, in any order. Each
-// entry has the revision of the store at which it held, and the latest one counts.
+// entry has the era and the revision of the store at which it held, and the latest one
+// counts.
 package evacuation
 
 import (
@@ -11,6 +12,7 @@
 	"sync"
 
 	"balsamproxy"
+	"balsamproxy/core/era"
 )
 
 // Table holds the latest entry of each data centre. The zero value holds none. It is
@@ -36,7 +38,7 @@
 
 func (table *Table) put(entry balsamproxy.Evacuation) bool {
 	known, found := table.entries[entry.DataCentre]
-	if found && entry.Revision <= known.Revision {
+	if found && position(entry).Compare(position(known)) <= 0 {
 		return false
 	}
 	if table.entries == nil {
@@ -54,9 +56,14 @@
 	return true
 }
 
-// Replace applies the complete list of evacuated data centres at a revision: all
+// position returns the point in the history of the store at which an entry held.
+func position(entry balsamproxy.Evacuation) era.Position {
+	return era.Position{Era: entry.Era, Revision: entry.Revision}
+}
+
+// Replace applies the complete list of evacuated data centres at a position: all
 // others are not evacuated. It reports whether the set has changed.
-func (table *Table) Replace(evacuated []balsamproxy.Evacuation, at balsamproxy.Revision) bool {
+func (table *Table) Replace(evacuated []balsamproxy.Evacuation, at era.Position) bool {
 	table.mutex.Lock()
 	defer table.mutex.Unlock()
 	listed := map[balsamproxy.DataCentreID]bool{}
@@ -67,7 +74,7 @@
 	}
 	for dataCentre, entry := range table.entries {
 		if entry.Evacuated && !listed[dataCentre] {
-			changed = table.put(balsamproxy.Evacuation{DataCentre: dataCentre, Revision: at}) || changed
+			changed = table.put(balsamproxy.Evacuation{DataCentre: dataCentre, Revision: at.Revision, Era: at.Era}) || changed
 		}
 	}
 	return changed
--- a/core/evacuation/table_test.go
+++ b/core/evacuation/table_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"balsamproxy"
+	"balsamproxy/core/era"
 )
 
 // TestTable guards against evacuations that are lost, or taken back, because a peer
@@ -26,11 +27,23 @@
 		"another data centre": {func(table *Table) {
 			table.Merge([]balsamproxy.Evacuation{{DataCentre: "b", Revision: 20, Evacuated: true}})
 		}, false},
-		"gone from a list":          {func(table *Table) { table.Merge([]balsamproxy.Evacuation{begun}); table.Replace(nil, 11) }, false},
-		"gone from an earlier list": {func(table *Table) { table.Merge([]balsamproxy.Evacuation{begun}); table.Replace(nil, 9) }, true},
-		"in a list":                 {func(table *Table) { table.Replace([]balsamproxy.Evacuation{begun}, 11) }, true},
+		"gone from a list": {func(table *Table) {
+			table.Merge([]balsamproxy.Evacuation{begun})
+			table.Replace(nil, era.Position{Revision: 11})
+		}, false},
+		"gone from an earlier list": {func(table *Table) {
+			table.Merge([]balsamproxy.Evacuation{begun})
+			table.Replace(nil, era.Position{Revision: 9})
+		}, true},
+		"in a list": {func(table *Table) { table.Replace([]balsamproxy.Evacuation{begun}, era.Position{Revision: 11}) }, true},
+		"lower revision of a later era": {func(table *Table) {
+			table.Merge([]balsamproxy.Evacuation{{DataCentre: "a", Revision: 10, Evacuated: true, Era: 1}, {DataCentre: "a", Revision: 3, Era: 2}})
+		}, false},
+		"higher revision of an earlier era": {func(table *Table) {
+			table.Merge([]balsamproxy.Evacuation{{DataCentre: "a", Revision: 3, Era: 2}, {DataCentre: "a", Revision: 10, Evacuated: true, Era: 1}})
+		}, false},
 		"later state of a peer than a list": {func(table *Table) {
-			table.Replace([]balsamproxy.Evacuation{begun}, 11)
+			table.Replace([]balsamproxy.Evacuation{begun}, era.Position{Revision: 11})
 			table.Merge([]balsamproxy.Evacuation{ended})
 		}, false},
 	}
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -22,7 +21,6 @@
 
 	"balsamproxy"
 	"balsamproxy/core/allowance"
-	"balsamproxy/core/announced"
 	"balsamproxy/core/budget"
 	"balsamproxy/core/callcost"
 	"balsamproxy/core/config"
@@ -74,7 +72,9 @@
 
 // Platform adapts the daemon to the platform that it runs on.
 type Platform struct {
-	Store   registry.Store
+	Store registry.Store
+	// Eras reports the era of the store. It may be nil.
+	Eras    balsamproxy.StoreEraReporter
 	Dialect balsamproxy.Dialect
 	// ConfigKey is the store key of the configuration, and Decode parses its
 	// value.
@@ -130,6 +130,8 @@
 	announceWakeup chan struct{}
 	laterWakeup    chan struct{}
 	fetches        chan balsamproxy.HostID
+	// eraRaised is signalled when the targets have to be recorded again.
+	eraRaised chan struct{}
 }
 
 // NewMetrics returns a metrics scope, its closer and the HTTP handler that
@@ -162,6 +164,7 @@
 		announceWakeup: make(chan struct{}, 1),
 		laterWakeup:    make(chan struct{}, 1),
 		fetches:        make(chan balsamproxy.HostID, 1),
+		eraRaised:      make(chan struct{}, 1),
 	}
 	daemon.metrics, daemon.metricsCloser, daemon.metricsExporter = NewMetrics(log)
 	daemon.platform = platform(daemon.metrics)
@@ -272,6 +275,7 @@
 		onChange: daemon.announce,
 		onFirst:  daemon.announceLater,
 		log:      daemon.log,
+		era:      daemon.era,
 	}
 	if daemon.settings.FirstStart {
 		daemon.follower.stale = daemon.platform.Store
@@ -294,6 +298,9 @@
 		daemon.spender.NewFleetUntil = daemon.clock.Boot() + balsamproxy.BootTime(fleetStartWindow)
 	}
 	daemon.spender.Serve(daemon.peerServer)
+	if daemon.platform.Eras != nil {
+		daemon.platform.Eras.OnEra(daemon.enterEra)
+	}
 }
 
 func (daemon *Daemon) wireRequestPath() {
@@ -354,16 +361,7 @@
 		Backups:     daemon.registry.Backups(),
 		Crashes:     daemon.crashes.recent(daemon.clock.Now()),
 		Evacuations: daemon.follower.evacuationRecords(),
-	}
-}
-
-// recordTargets stores the announcements of the targets of this host. They are
-// acknowledged afterwards, or without a record if the store does not answer in
-// time.
-func (daemon *Daemon) recordTargets(records func() []announced.Record) {
-	err := daemon.registry.RecordTargets(context.Background(), func() ([]byte, error) { return json.Marshal(records()) })
-	if err != nil {
-		daemon.log.Warn().Str("event", "targets-not-recorded").Err(err).Send()
+		Era:         daemon.era(),
 	}
 }
 
@@ -373,6 +371,7 @@
 }
 
 func (daemon *Daemon) handleStatus(status balsamproxy.Status) {
+	status = daemon.inPresentEra(status)
 	daemon.view.update(status)
 	daemon.follower.mergeEvacuations(status.Evacuations)
 	daemon.crashes.merge(status.Crashes, daemon.clock.Now())
--- a/io/mesh/evacuations.go
+++ b/io/mesh/evacuations.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"balsamproxy"
+	"balsamproxy/core/era"
 )
 
 // watchedPrefix returns the prefix of the keys that the follower reads.
@@ -24,27 +25,33 @@
 	return balsamproxy.DataCentreID(name), found && name != ""
 }
 
-// applyEvacuations applies the evacuations in a snapshot of all keys of the operator.
-func (follower *configFollower) applyEvacuations(snapshot balsamproxy.StoreSnapshot) {
+// applyEvacuations applies the evacuations in a snapshot of all keys of the operator,
+// read in an era. While the store may lack writes of the operator, a key that is not
+// there ends no evacuation.
+func (follower *configFollower) applyEvacuations(snapshot balsamproxy.StoreSnapshot, current balsamproxy.StoreEra) {
 	if follower.evacuationPrefix == "" {
 		return
 	}
 	var evacuated []balsamproxy.Evacuation
 	for _, entry := range snapshot.Entries {
 		if dataCentre, found := follower.evacuatedDataCentre(entry.Key); found {
-			evacuated = append(evacuated, balsamproxy.Evacuation{DataCentre: dataCentre, Revision: entry.Revision, Evacuated: true})
+			evacuated = append(evacuated, balsamproxy.Evacuation{DataCentre: dataCentre, Revision: entry.Revision, Evacuated: true, Era: current})
 		}
 	}
-	if follower.evacuations.Replace(evacuated, snapshot.Revision) {
+	if follower.lossy.Load() != 0 {
+		follower.mergeEvacuations(evacuated)
+		return
+	}
+	if follower.evacuations.Replace(evacuated, era.Position{Era: current, Revision: snapshot.Revision}) {
 		follower.evacuationsChanged()
 	}
 }
 
-// applyEvacuation applies a change of a key of the operator.
-func (follower *configFollower) applyEvacuation(event balsamproxy.StoreEvent) {
+// applyEvacuation applies a change of a key of the operator, read in an era.
+func (follower *configFollower) applyEvacuation(event balsamproxy.StoreEvent, current balsamproxy.StoreEra) {
 	if dataCentre, found := follower.evacuatedDataCentre(event.Entry.Key); found {
 		follower.mergeEvacuations([]balsamproxy.Evacuation{
-			{DataCentre: dataCentre, Revision: event.Entry.Revision, Evacuated: !event.Deleted},
+			{DataCentre: dataCentre, Revision: event.Entry.Revision, Evacuated: !event.Deleted, Era: current},
 		})
 	}
 }
--- a/io/mesh/relay.go
+++ b/io/mesh/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"balsamproxy"
+	"balsamproxy/core/era"
 	"balsamproxy/core/evidence"
 	"balsamproxy/io/peer"
 )
@@ -42,6 +43,8 @@
 	Version balsamproxy.Revision `cbor:"3,keyasint"`
 	// Evacuations are those that the peer knew when it was asked.
 	Evacuations []balsamproxy.Evacuation `cbor:"4,keyasint,omitempty"`
+	// Era is the era of the store that the peer has seen, or zero.
+	Era balsamproxy.StoreEra `cbor:"5,keyasint,omitempty"`
 }
 
 // relay obtains evidence from peers, so that only one daemon has to read the
@@ -60,7 +63,7 @@
 	peer.Handle(server, kindEvidence, func(context.Context, balsamproxy.HostID, evidenceRequest) (evidenceResponse, error) {
 		follower := relay.follower
 		age, known := follower.evidence.Age(follower.clock.Boot())
-		return evidenceResponse{Known: known, Age: age, Version: follower.version(), Evacuations: follower.evacuationRecords()}, nil
+		return evidenceResponse{Known: known, Age: age, Version: follower.version(), Era: follower.storeEra(), Evacuations: follower.evacuationRecords()}, nil
 	})
 }
 
@@ -125,14 +128,14 @@
 	askCtx, cancel := context.WithTimeout(ctx, relayTimeout)
 	answer, err := peer.Ask[evidenceRequest, evidenceResponse](askCtx, relay.pool, host, kindEvidence, evidenceRequest{})
 	cancel()
-	if err != nil || !answer.Known || answer.Age >= limit {
+	if err != nil || !answer.Known || answer.Age >= limit || answer.Era < follower.storeEra() {
 		return false
 	}
 	follower.mergeEvacuations(answer.Evacuations)
 	if answer.Version > follower.version() {
 		follower.fetch(ctx, relay.pool, host)
 	}
-	if answer.Version > follower.version() {
+	if answer.Version > follower.version() || !era.Confirms(answer.Version, follower.version(), follower.lossy.Load() != 0) {
 		return false
 	}
 	follower.evidence.Confirm(start - balsamproxy.BootTime(answer.Age))
--- a/member.go
+++ b/member.go
@@ -78,6 +78,9 @@
 	// Evacuations are the latest known states of the data centres that the operator
 	// has ever evacuated.
 	Evacuations []Evacuation `cbor:"12,keyasint,omitempty"`
+	// Era is the era of the store that the daemon has seen, in which it holds its
+	// tenures.
+	Era StoreEra `cbor:"13,keyasint,omitempty"`
 }
 
 // Evacuation says whether the operator had evacuated a data centre at a revision of
@@ -86,6 +89,8 @@
 	DataCentre DataCentreID `cbor:"1,keyasint"`
 	Revision   Revision     `cbor:"2,keyasint"`
 	Evacuated  bool         `cbor:"3,keyasint,omitempty"`
+	// Era is the era of the store that the revision belongs to.
+	Era StoreEra `cbor:"4,keyasint,omitempty"`
 }
 
 // Crash records that a request was in flight when a target crashed.
