Reject responses with impossible status codes

A status below 200 except 101 was taken for an interim response, and any other for a final one. Callers got 101, 600 and 999 as responses; 000 and 099 were skipped, so that what followed on the connection reached the caller. A 999 that said not run was reported as not run.

readFinalResponse, which both daemons use, accepts 100 to 199 except 101 as interim and 200 to 599 as final status, and fails for others: the connection is closed and the caller gets 502. A response head of a peer is checked in the same way, without ending the link, and the writers of both daemons write 502 in place of such a status.

--- a/call.go
+++ b/call.go
@@ -87,6 +87,15 @@
 	Congestion Congestion `cbor:"6,keyasint,omitempty"`
 }
 
+// statusMax is the greatest status of HTTP.
+const statusMax = 599
+
+// IsFinalStatus reports whether a status may be that of a final response. 101 is
+// none: the daemons do not switch protocols.
+func IsFinalStatus(status int) bool {
+	return status >= http.StatusOK && status <= statusMax
+}
+
 // ShownCongestion returns the kind of congestion that a response shows.
 func (head ResponseHead) ShownCongestion() Congestion {
 	if head.Status == http.StatusGatewayTimeout && head.Congestion == CongestionNone {
--- a/io/http1/response.go
+++ b/io/http1/response.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"balsamproxy"
 )
 
 // copyBufferBytes is the maximum size of one body write.
@@ -25,6 +27,10 @@
 // connection, so that the caller cannot take a truncated body for a complete one.
 func (connection *connection) writeResponse(next *pending, response Response, closeAfter bool) error {
 	defer closeBody(response)
+	if !balsamproxy.IsFinalStatus(response.Status) {
+		// Callers cannot read such a status, or would wait for another response.
+		response = Response{Status: http.StatusBadGateway}
+	}
 	framing := framingOf(next, response)
 	_ = connection.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if err := connection.writeHead(response, framing, closeAfter || framing == untilClose); err != nil {
--- a/io/httpresponse/response.go
+++ b/io/httpresponse/response.go
@@ -17,11 +17,16 @@
 	buffers sync.Pool
 }
 
-// Write writes a target's response. If copying the body fails, it panics with
+// Write writes a target's response, or a refusal if its status is invalid. If copying the body fails, it panics with
 // http.ErrAbortHandler, which aborts the connection, so that the peer cannot
 // take a truncated body for a complete one.
 func (w *Writer) Write(writer http.ResponseWriter, request balsamproxy.RequestID, response *balsamproxy.Response) {
 	defer closeBody(response)
+	if !balsamproxy.IsFinalStatus(response.Head.Status) {
+		// net/http panics on most of them, and takes 1xx for interim responses.
+		WriteRefusal(writer, request, balsamproxy.MayHaveRun(balsamproxy.ReasonTargetFailed, "the response has an invalid status"))
+		return
+	}
 	header := writer.Header()
 	maps.Copy(header, CleanHeader(response.Head.Header))
 	header.Set(HeaderRequestID, string(request))
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -204,7 +204,7 @@
 	for {
 		select {
 		case head := <-exchange.stream.heads:
-			if head.Answer != nil {
+			if head.Answer != nil && balsamproxy.IsFinalStatus(head.Answer.Status) {
 				return &balsamproxy.Response{Head: *head.Answer, Body: exchange}, nil
 			}
 			exchange.finish()
@@ -223,6 +223,9 @@
 	if head.Refusal != nil {
 		return head.Refusal
 	}
+	if head.Answer != nil {
+		return balsamproxy.MayHaveRun(balsamproxy.ReasonTargetFailed, "the peer sent an invalid status")
+	}
 	return balsamproxy.MayHaveRun(balsamproxy.ReasonPeerLost, "the link or the request body broke before an answer came")
 }
 
--- a/io/target/response_head.go
+++ b/io/target/response_head.go
@@ -5,6 +5,8 @@
 	"io"
 	"math"
 	"net/http"
+
+	"balsamproxy"
 )
 
 const (
@@ -18,6 +20,7 @@
 var (
 	errTooManyInterim = errors.New("target: too many interim answers")
 	errHeadTooLong    = errors.New("target: the head of the answer is too long")
+	errInvalidStatus  = errors.New("target: the answer has an invalid status")
 )
 
 // limitedReader is a reader that fails after a number of bytes.
@@ -46,9 +49,18 @@
 	defer func() { connection.limited.left = math.MaxInt64 }()
 	for range interimMax {
 		response, err := http.ReadResponse(connection.reader, request)
-		if err != nil || response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if err != nil || balsamproxy.IsFinalStatus(response.StatusCode) {
 			return response, err
 		}
+		if !isInterimStatus(response.StatusCode) {
+			return nil, errInvalidStatus
+		}
 	}
 	return nil, errTooManyInterim
 }
+
+// isInterimStatus reports whether another response to the same request follows.
+// After 101 the connection no longer carries HTTP.
+func isInterimStatus(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
