config check: entries without effect, contradicting limits, differences

config check listed only what makes a daemon reject a document, and did not read documents of the platform, which the daemon does not validate. The exit status is 2 with errors and 0 otherwise.

--- a/cmd/balsamproxy/config.go
+++ b/cmd/balsamproxy/config.go
@@ -13,7 +13,6 @@
 	"strings"
 	"time"
 
-	"balsamproxy/core/config"
 	"balsamproxy/io/operator"
 )
 
@@ -148,27 +147,6 @@
 	return data, nil
 }
 
-type checkCommand struct {
-	Document documentArgument `positional-args:"true"`
-
-	program *program
-}
-
-// Execute validates a document and lists every fault.
-func (command *checkCommand) Execute([]string) error {
-	data, err := command.program.readDocument(command.Document)
-	if err != nil {
-		return err
-	}
-	document, faults := config.Parse(data)
-	if len(faults) > 0 {
-		return statusErrorf(exitInvalid, "invalid document:\n%w", faults)
-	}
-	_, err = fmt.Fprintf(command.program.stdout, "good: %d client accounts, %d routes\n",
-		len(document.ClientAccounts), len(document.Routes))
-	return err
-}
-
 type showCommand struct {
 	Client clientOptions `group:"Daemon"`
 
--- a/cmd/balsamproxy/main.go
+++ b/cmd/balsamproxy/main.go
@@ -117,12 +117,13 @@
   balsamproxy daemon --settings /etc/balsamproxy/settings.json
   balsamproxy key new
   balsamproxy config check config.json
+  balsamproxy config check config.json --in-force former.json --json
   balsamproxy config show --daemon https://10.0.0.1:8443
   balsamproxy config apply config.json --revision 17
 
 Exit status: 0 success, 1 failure, 2 invalid arguments, settings or
 document, 3 revision conflict with another operator, 4 outcome unknown or not
-yet in force everywhere.
+yet in force everywhere. Warnings of config check do not change it.
 
 Bash completion: complete -C 'GO_FLAGS_COMPLETION=1 balsamproxy' balsamproxy`
 
@@ -158,7 +159,9 @@
 	if err != nil {
 		return err
 	}
-	_, err = config.AddCommand("check", "Check a document", "List every fault of a document.",
+	_, err = config.AddCommand("check", "Check a document",
+		"List the errors of a document, entries and limits that are probably mistakes (warnings), and its differences "+
+			"from the version in force. The exit status is 2 if there are errors; warnings do not change it.",
 		&checkCommand{program: program})
 	if err != nil {
 		return err
