--- a/core/config/diff.go
+++ b/core/config/diff.go
@@ -115,7 +115,7 @@
 		entries[name] = newEntry(account)
 	}
 	for _, service := range document.Services {
-		entries["service "+string(service.ID)] = render(service)
+		entries["service "+string(service.ID)] = newEntry(service)
 	}
 	for _, route := range document.Routes {
 		entries["route "+string(route.ID)] = newEntry(route)
