Targets known from an earlier run of the daemon count as cold

Cause: after a power failure a daemon knows its target as warm from the record of its earlier run, while the target restarted with the host.

--- a/core/announced/table.go
+++ b/core/announced/table.go
@@ -41,6 +41,8 @@
 	draining bool
 	// down is set while the target accepts no connections.
 	down bool
+	// restored is set until the target announces itself to this run of the daemon.
+	restored bool
 }
 
 // State is the state of a target as known to the daemon.
@@ -51,6 +53,9 @@
 	Down      bool
 	// Leaving is set if the target receives no new calls until it restarts.
 	Leaving bool
+	// Restored is set if the target is known from an earlier run of the daemon only. It
+	// may have restarted since.
+	Restored bool
 }
 
 // Announce applies an announcement and reports whether the state of the target
@@ -77,6 +82,7 @@
 	}
 	existing.announcement = announcement
 	existing.lastUpdate = now
+	existing.restored = false
 	existing.down = false
 	existing.draining = existing.draining || announcement.Target.State == balsamproxy.TargetDraining
 	existing.coldUntil = now.Add(announcement.WarmupRemaining)
@@ -200,6 +206,7 @@
 	}
 	state := table.state(id)
 	state.ColdUntil = existing.coldUntil
+	state.Restored = existing.restored
 	return state, true
 }
 
@@ -251,17 +258,9 @@
 	}
 }
 
-// restoredWarmUp is how long a target that was cold is assumed to be cold after a
-// restart of the daemon. Its next announcement tells how long it is.
-const restoredWarmUp = 3 * time.Second
-
 func restored(stored Record, now time.Time) *record {
-	coldUntil := time.Time{}
-	if stored.Target.State == balsamproxy.TargetCold {
-		coldUntil = now.Add(restoredWarmUp)
-	}
 	return &record{
-		coldUntil:    coldUntil,
+		restored:     true,
 		announcement: balsamproxy.Announcement{Target: stored.Target, Born: stored.Born, Sequence: stored.Sequence},
 		lastUpdate:   now,
 		withdrawn:    stored.Withdrawn,
--- a/io/target/delivery.go
+++ b/io/target/delivery.go
@@ -9,6 +9,7 @@
 
 	"balsamproxy"
 	"balsamproxy/core/admission"
+	"balsamproxy/core/announced"
 )
 
 // delivery is one call that is queued for or sent to its target.
@@ -69,9 +70,8 @@
 	now := local.Clock.Now()
 	head := delivery.call.Head
 	local.mutex.Lock()
-	state, found := local.table.State(head.Target)
-	queue := local.queues[head.Target]
-	if !found || queue == nil || state.Leaving || state.Down || state.Target.Service != head.Service {
+	state, queue := local.acceptingLocked(head, now)
+	if queue == nil {
 		local.mutex.Unlock()
 		return balsamproxy.NotRun(balsamproxy.ReasonDraining, "the target takes no work: "+string(head.Target))
 	}
@@ -96,6 +96,20 @@
 	return delivery.refusalOf(verdict, load)
 }
 
+// acceptingLocked returns the state and the queue of the target of a call, or no queue
+// if the target takes no work. The caller must hold the mutex.
+func (local *Local) acceptingLocked(head balsamproxy.CallHead, now time.Time) (announced.State, *admissionQueue) {
+	state, found := local.table.State(head.Target)
+	if !found || state.Leaving || state.Down || state.Target.Service != head.Service {
+		return state, nil
+	}
+	if state.Restored {
+		// The configuration, and with it the rate of a cold target, may have come since.
+		local.updateSlotsLocked(head.Target, now)
+	}
+	return state, local.queues[head.Target]
+}
+
 func (delivery *delivery) request(ctx context.Context, now time.Time) admission.Request {
 	head := delivery.call.Head
 	deadline, ok := ctx.Deadline()
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -145,10 +145,19 @@
 	}
 	queue.cold = now.Before(state.ColdUntil)
 	slots := admission.UsableSlots(state.Target.Slots, queue.cold)
-	queue.controller.SetWarmUp(local.warmUpRate(state.Target.Service), state.ColdUntil, now)
+	coldUntil := state.ColdUntil
+	if state.Restored {
+		coldUntil = now.Add(restoredWarmUp)
+	}
+	queue.controller.SetWarmUp(local.warmUpRate(state.Target.Service), coldUntil, now)
 	queue.notify(queue.controller.SetSlots(slots, now))
 }
 
+// restoredWarmUp is how long a target that is known from an earlier run of the daemon is
+// assumed to be cold, if its service has a warm-up rate: it may have restarted with the
+// host. Its next announcement tells.
+const restoredWarmUp = 3 * time.Second
+
 func (local *Local) warmUpRate(service balsamproxy.ServiceID) float64 {
 	if local.WarmUpRate == nil {
 		return 0
