--- a/core/pricing/prices_test.go
+++ b/core/pricing/prices_test.go
@@ -1,8 +1,10 @@
 package pricing
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,75 +36,110 @@
 
 func (result result) share() float64 { return float64(result.served) / float64(max(result.sent, 1)) }
 
+// model is a number of entries in front of a deep service.
+type model struct {
+	kinds  map[string]kind
+	random *rand.Rand
+	// prices are those of each entry; nil admits everything.
+	prices []Prices
+	slots  float64
+	// recent is the decaying sum of the work offered to the deep service.
+	recent          float64
+	calling, ending map[time.Time][]*request
+	results         []map[string]result
+}
+
+type request struct {
+	name       string
+	entry      int
+	admittedAt time.Time
+	pressure   float64
+	served     bool
+}
+
+const entryCount = 20
+
 // play plays load at a number of entries and a deep service with the given slots, and
 // returns the results of each second by kind. Without prices everything is admitted.
 func play(kinds map[string]kind, load func(second int) float64, slots float64, seconds int, withPrices bool) []map[string]result {
-	const entries = 20
-	random := rand.New(rand.NewPCG(1, 2)) //nolint:gosec // the schedule must be reproducible
-	type request struct {
-		name       string
-		entry      int
-		admittedAt time.Time
-		pressure   float64
-		served     bool
-	}
-	prices := make([]Prices, entries)
-	calling, ending := map[time.Time][]*request{}, map[time.Time][]*request{}
-	results := make([]map[string]result, seconds)
-	names := []string{"browse", "order", "issue", "check"}
+	model := &model{
+		kinds: kinds, slots: slots,
+		random:  rand.New(rand.NewPCG(1, 2)), //nolint:gosec // the schedule must be reproducible
+		calling: map[time.Time][]*request{}, ending: map[time.Time][]*request{},
+	}
+	if withPrices {
+		model.prices = make([]Prices, entryCount)
+	}
 	start := time.Unix(0, 0)
-	recent := 0.0
-	for now := start; now.Before(start.Add(time.Duration(seconds) * time.Second)); now = now.Add(step) {
-		second := int(now.Sub(start) / time.Second)
-		if results[second] == nil {
-			results[second] = map[string]result{}
+	for second := range seconds {
+		model.results = append(model.results, map[string]result{})
+		for now := start.Add(time.Duration(second) * time.Second); now.Before(start.Add(time.Duration(second+1) * time.Second)); now = now.Add(step) {
+			model.call(now)
+			model.end(now)
+			model.arrive(load(second), now)
 		}
-		recent *= math.Exp(-step.Seconds() / 0.3)
-		for _, current := range calling[now] {
-			kind := kinds[current.name]
-			recent += float64(kind.calls) * kind.work.Seconds()
+	}
+	return model.results
+}
+
+// count changes the result of a kind in the present second.
+func (model *model) count(name string, change func(*result)) {
+	current := model.results[len(model.results)-1]
+	counted := current[name]
+	change(&counted)
+	current[name] = counted
+}
+
+// call lets the requests that are due call the deep service.
+func (model *model) call(now time.Time) {
+	model.recent *= math.Exp(-step.Seconds() / 0.3)
+	for _, current := range model.calling[now] {
+		kind := model.kinds[current.name]
+		model.recent += float64(kind.calls) * kind.work.Seconds()
+	}
+	pressure := model.recent / 0.3 / model.slots
+	admitted := min(1, 1/pressure)
+	for _, current := range model.calling[now] {
+		current.pressure = min(pressure, 1)*admitted + RejectedPressure*(1-admitted)
+		current.served = model.random.Float64() < math.Pow(admitted, float64(model.kinds[current.name].calls))
+	}
+	delete(model.calling, now)
+}
+
+// end answers the requests that are due.
+func (model *model) end(now time.Time) {
+	for _, current := range model.ending[now] {
+		kind := model.kinds[current.name]
+		costs := []balsamproxy.ServiceCost{{Service: "first", Work: 300 * time.Millisecond, Pressure: 0.4}}
+		if kind.calls > 0 {
+			costs = append(costs, balsamproxy.ServiceCost{Service: deep, Work: time.Duration(kind.calls) * kind.work, Pressure: current.pressure})
 		}
-		pressure := recent / 0.3 / slots
-		for _, current := range calling[now] {
-			admitted := min(1, 1/pressure)
-			current.pressure = min(pressure, 1)*admitted + RejectedPressure*(1-admitted)
-			current.served = random.Float64() < math.Pow(admitted, float64(kinds[current.name].calls))
+		if model.prices != nil {
+			model.prices[current.entry].Record(kind.class, costs, current.admittedAt, now)
 		}
-		for _, current := range ending[now] {
-			kind := kinds[current.name]
-			costs := []balsamproxy.ServiceCost{{Service: "first", Work: 300 * time.Millisecond, Pressure: 0.4}}
-			if kind.calls > 0 {
-				costs = append(costs, balsamproxy.ServiceCost{Service: deep, Work: time.Duration(kind.calls) * kind.work, Pressure: current.pressure})
-			}
-			prices[current.entry].Record(kind.class, costs, current.admittedAt, now)
-			counted := results[second][current.name]
-			if current.served {
-				counted.served++
-			}
-			results[second][current.name] = counted
+		if current.served {
+			model.count(current.name, func(result *result) { result.served++ })
 		}
-		delete(calling, now)
-		delete(ending, now)
-		for _, name := range names {
-			kind, used := kinds[name]
-			if !used {
+	}
+	delete(model.ending, now)
+}
+
+// arrive sends the requests of one step.
+func (model *model) arrive(load float64, now time.Time) {
+	for _, name := range slices.Sorted(maps.Keys(model.kinds)) {
+		kind := model.kinds[name]
+		for arrivals := kind.rate * load * step.Seconds(); model.random.Float64() < arrivals; arrivals-- {
+			model.count(name, func(result *result) { result.sent++ })
+			entry := model.random.IntN(entryCount)
+			if model.prices != nil && !model.prices[entry].Admit(kind.class, model.random.Float64(), now) {
 				continue
 			}
-			for arrivals := kind.rate * load(second) * step.Seconds(); random.Float64() < arrivals; arrivals-- {
-				counted := results[second][name]
-				counted.sent++
-				entry := random.IntN(entries)
-				if !withPrices || prices[entry].Admit(kind.class, random.Float64(), now) {
-					counted.admitted++
-					admitted := &request{name: name, entry: entry, admittedAt: now}
-					calling[now.Add(callDelay)] = append(calling[now.Add(callDelay)], admitted)
-					ending[now.Add(responseDelay)] = append(ending[now.Add(responseDelay)], admitted)
-				}
-				results[second][name] = counted
-			}
+			model.count(name, func(result *result) { result.admitted++ })
+			admitted := &request{name: name, entry: entry, admittedAt: now}
+			model.calling[now.Add(callDelay)] = append(model.calling[now.Add(callDelay)], admitted)
+			model.ending[now.Add(responseDelay)] = append(model.ending[now.Add(responseDelay)], admitted)
 		}
 	}
-	return results
 }
 
 // sum adds up the results from one second to before another.
