--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -58,6 +58,7 @@
 	dependencyFailed bool
 	congestion       balsamproxy.Congestion
 	refusal          *balsamproxy.Refusal
+	costs            []balsamproxy.ServiceCost
 }
 
 func (script *script) ForwardTo(_ context.Context, _ balsamproxy.HostID, call balsamproxy.Call) (*balsamproxy.Response, error) {
@@ -68,7 +69,7 @@
 		return nil, &refusal
 	}
 	return &balsamproxy.Response{
-		Head: balsamproxy.ResponseHead{Status: next.status, DependencyFailed: next.dependencyFailed, Congestion: next.congestion},
+		Head: balsamproxy.ResponseHead{Status: next.status, DependencyFailed: next.dependencyFailed, Congestion: next.congestion, Costs: next.costs},
 		Body: io.NopCloser(bytes.NewReader(nil)),
 	}, nil
 }
