Memory: a budget for bodies of requests, with a reserve for small ones

Nothing bounded the bodies of requests that a daemon holds; the budget covered bodies of responses only. The budget now counts both.

--- a/core/memory/budget.go
+++ b/core/memory/budget.go
@@ -1,34 +1,113 @@
-// Package memory bounds the memory that a daemon holds for the bodies of others.
+// Package memory bounds the memory that a daemon holds for the bodies of others. The
+// budget is designed for some thousand bodies of any length up to the budget at once,
+// most of which may come from hostile callers.
 package memory
 
 import "sync"
 
-// Budget is a number of bytes shared by many holders. The zero value allows
-// nothing.
+// SmallBytes is the length up to which the body of a request is small.
+const SmallBytes = 64 << 10
+
+// Budget is a number of bytes shared by the bodies of requests and responses. The zero
+// value allows nothing.
 type Budget struct {
 	// Bytes is the size of the budget.
 	Bytes int64
+	// Requests is the part of Bytes that bodies of requests may use.
+	Requests int64
+	// Reserve is the part of Requests that only small bodies may use.
+	Reserve int64
 
 	mutex sync.Mutex
-	used  int64
+	usage Usage
+}
+
+// Usage is how much of a budget is in use, in bytes.
+type Usage struct {
+	// Total includes Requests, which includes Large, the use by bodies that are not
+	// small.
+	Total, Requests, Large int64
+}
+
+// reserveDivisor gives the part of the request memory that is reserved for small
+// bodies. With 184 MB of memory, the rest has to hold a body of 64 MiB.
+const reserveDivisor = 16
+
+// NewBudget returns a budget with the usual reserve for small bodies.
+func NewBudget(bytes, requests int64) *Budget {
+	return &Budget{Bytes: bytes, Requests: requests, Reserve: requests / reserveDivisor}
+}
+
+// Usage returns how much of the budget is in use.
+func (budget *Budget) Usage() Usage {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	return budget.usage
 }
 
-// Grow takes more bytes for a holder that has held bytes, and reports whether
-// they were available. A holder may have no more than is free for the others, so
+// Grow takes more bytes for the body of a response that has held bytes, and reports
+// whether they were available. A body may have no more than is free for the others, so
 // a few endless bodies do not use up the budget.
 func (budget *Budget) Grow(held, more int64) bool {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
-	if held+more > budget.Bytes-budget.used-more {
+	if held+more > budget.Bytes-budget.Reserve-budget.usage.Total-more {
 		return false
 	}
-	budget.used += more
+	budget.usage.Total += more
 	return true
 }
 
-// Release returns bytes.
+// Release returns the bytes of the body of a response.
 func (budget *Budget) Release(held int64) {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
-	budget.used -= held
+	budget.usage.Total -= held
+}
+
+// Fits reports whether the body of a request of this length could be held now.
+func (budget *Budget) Fits(length int64) bool {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	return budget.fitsLocked(0, length)
+}
+
+// fitsLocked reports whether the body of a request that has held bytes can have more.
+func (budget *Budget) fitsLocked(held, more int64) bool {
+	usage := budget.usage
+	if usage.Requests+more > budget.Requests || usage.Total+more > budget.Bytes {
+		return false
+	}
+	return usage.Large+largeBytes(held+more)-largeBytes(held) <= budget.Requests-budget.Reserve || held+more <= SmallBytes
+}
+
+// largeBytes returns how much of a body of a request counts as large.
+func largeBytes(held int64) int64 {
+	if held <= SmallBytes {
+		return 0
+	}
+	return held
+}
+
+// growRequest takes more bytes for the body of a request that has held bytes, and
+// reports whether they were available.
+func (budget *Budget) growRequest(held, more int64) bool {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	if !budget.fitsLocked(held, more) {
+		return false
+	}
+	budget.usage.Total += more
+	budget.usage.Requests += more
+	budget.usage.Large += largeBytes(held+more) - largeBytes(held)
+	return true
+}
+
+// releaseRequest returns the bytes of the body of a request.
+func (budget *Budget) releaseRequest(held int64) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.usage.Total -= held
+	budget.usage.Requests -= held
+	budget.usage.Large -= largeBytes(held)
 }
--- a/core/settings/mesh.go
+++ b/core/settings/mesh.go
@@ -41,8 +41,14 @@
 	RepeatRatio float64 `json:"repeat-ratio"`
 	RepeatSlack float64 `json:"repeat-slack"`
 	// MemoryMB is the memory limit of the process in megabytes; zero means none.
-	MemoryMB int    `json:"memory-mb,omitempty"`
-	LogLevel string `json:"log-level,omitempty"`
+	MemoryMB int `json:"memory-mb,omitempty"`
+	// BodyMemoryMB is the memory for bodies of requests and responses in megabytes;
+	// zero means the default.
+	BodyMemoryMB int `json:"body-memory-mb,omitempty"`
+	// CallerConnections is the maximum number of connections of callers; zero means
+	// the default.
+	CallerConnections int    `json:"caller-connections,omitempty"`
+	LogLevel          string `json:"log-level,omitempty"`
 }
 
 // DefaultMeshStorePrefix is the default of Mesh.StorePrefix.
@@ -84,6 +90,7 @@
 	if mesh.MemoryMB < 0 {
 		faults.Add("/memory-mb", "%d is below 0", mesh.MemoryMB)
 	}
+	mesh.checkLimits(&faults)
 	checkLogLevel(&faults, mesh.LogLevel)
 	return faults
 }
--- a/core/settings/mesh_test.go
+++ b/core/settings/mesh_test.go
@@ -29,6 +29,9 @@
 		"zero duration":             {`"5000ms"`, `"0s"`, []string{"/withdrawal-bound"}},
 		"invalid name":              {`"venues"`, `"No Name"`, []string{"/service"}},
 		"ratio above 1":             {`ratio": 0.2`, `ratio": 2`, []string{"/repeat-ratio"}},
+		"negative body memory":      {`"host":`, `"body-memory-mb": -1, "host":`, []string{"/body-memory-mb"}},
+		"too much body memory":      {`"host":`, `"memory-mb": 184, "body-memory-mb": 93, "host":`, []string{"/body-memory-mb"}},
+		"too many connections":      {`"host":`, `"caller-connections": 65537, "host":`, []string{"/caller-connections"}},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -44,3 +47,31 @@
 		})
 	}
 }
+
+// TestMeshLimits guards against defaults that exceed the memory of a host or leave no
+// descriptors for anything but callers.
+func TestMeshLimits(t *testing.T) {
+	cases := map[string]struct {
+		mesh            settings.Mesh
+		total, requests int64
+		descriptors     int
+		connections     int
+	}{
+		"no memory limit":       {settings.Mesh{}, 64 << 20, 64 << 20, 100_000, 4096},
+		"memory limit":          {settings.Mesh{MemoryMB: 184}, 161 << 19, 69 << 20, 4100, 736},
+		"few descriptors":       {settings.Mesh{MemoryMB: 536}, 469 << 19, 201 << 20, 4100, 2050},
+		"body memory":           {settings.Mesh{MemoryMB: 160, BodyMemoryMB: 80}, 80 << 20, 60 << 20, 4100, 640},
+		"small body memory":     {settings.Mesh{MemoryMB: 160, BodyMemoryMB: 20}, 20 << 20, 20 << 20, 4100, 640},
+		"connections":           {settings.Mesh{CallerConnections: 50}, 64 << 20, 64 << 20, 4100, 50},
+		"too many connections":  {settings.Mesh{CallerConnections: 3000}, 64 << 20, 64 << 20, 4100, 2050},
+		"hardly any descriptor": {settings.Mesh{}, 64 << 20, 64 << 20, 1, 1},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			total, requests := test.mesh.BodyMemory()
+			assert.Equal(t, total, test.total)
+			assert.Equal(t, requests, test.requests)
+			assert.Equal(t, test.mesh.MaxCallerConnections(test.descriptors), test.connections)
+		})
+	}
+}
