Target: send the body of a call while it arrives

The daemon beside the target read the whole body before it asked for a slot, so each body was held twice, without a bound. It now admits the call first and then reads what the target takes; the window of the link bounds the rest. A body that breaks off closes the connection to the target before its end, and the call may have run. An early answer is passed on as before.

--- a/io/target/delivery.go
+++ b/io/target/delivery.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"strconv"
 	"time"
 
@@ -18,16 +17,12 @@
 	target balsamproxy.Target
 	queue  *admissionQueue
 	ticket admission.Ticket
-	body   []byte
 }
 
-// Forward forwards one call to its target on this host.
+// Forward forwards one call to its target on this host. It reads the body while it
+// sends the call.
 func (local *Local) Forward(ctx context.Context, call balsamproxy.Call) (*balsamproxy.Response, error) {
-	body, err := io.ReadAll(call.Body)
-	if err != nil {
-		return nil, balsamproxy.NotRun(balsamproxy.ReasonBadRequest, "the body ended early")
-	}
-	delivery := &delivery{local: local, call: call, body: body}
+	delivery := &delivery{local: local, call: call}
 	if refusal := delivery.acquire(ctx); refusal != nil {
 		return nil, refusal
 	}
@@ -234,6 +229,8 @@
 		return refuse(balsamproxy.ReasonDeadline, "no answer in time")
 	case ctx.Err() != nil:
 		return refuse(balsamproxy.ReasonCancelled, "nobody waits for the answer")
+	case errors.Is(err, errBodyBroken):
+		return refuse(balsamproxy.ReasonCancelled, "the body ended early")
 	}
 	refusal := refuse(balsamproxy.ReasonTargetFailed, err.Error())
 	if delivery.isDown() || delivery.refusesConnections() {
--- a/io/target/delivery_exchange.go
+++ b/io/target/delivery_exchange.go
@@ -1,11 +1,12 @@
 package target
 
 import (
-	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -34,6 +35,9 @@
 	// errMismatchedResponse means that a connection returned responses to other
 	// requests.
 	errMismatchedResponse = errors.New("target: answers to other requests")
+	// errBodyBroken means that the body of the call ended early on its way to this
+	// host.
+	errBodyBroken = errors.New("target: the body of the call ended early")
 )
 
 // targetResponse is a complete response of a target.
@@ -63,8 +67,19 @@
 		return nil, errors.Join(errNotSent, err)
 	}
 	release := context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Unix(1, 0)) })
-	written := task.Start(ctx, func(context.Context) error { return writeRequest(connection, request) })
+	var broken atomic.Bool
+	written := task.Start(ctx, func(context.Context) error {
+		err := writeRequest(connection, request)
+		if isBodyBroken(err) {
+			broken.Store(true)
+			_ = connection.Close()
+		}
+		return err
+	})
 	received, reusable, err := delivery.readResponse(connection, request)
+	if err != nil && broken.Load() {
+		err = errors.Join(errBodyBroken, err)
+	}
 	complete := err == nil && waitWritten(connection, written)
 	if !release() || !complete || !reusable {
 		_ = connection.Close()
@@ -81,8 +96,17 @@
 	return connection.writer.Flush()
 }
 
+// isBodyBroken reports whether writing a request failed because of its body and not
+// because of the connection. A target may respond and then reset the connection before
+// it has read the body; its response is read nevertheless.
+func isBodyBroken(err error) bool {
+	var failed *net.OpError
+	return err != nil && !errors.As(err, &failed)
+}
+
 // waitWritten waits until the request is written, in case the target responded
-// early.
+// early. If it returns false, the goroutine that writes the request may still wait for
+// a part of the body; it ends with the context of the call.
 func waitWritten(connection *connection, written <-chan error) bool {
 	timer := time.NewTimer(requestWriteTimeout)
 	defer timer.Stop()
@@ -91,7 +115,6 @@
 		return err == nil
 	case <-timer.C:
 		_ = connection.Close()
-		<-written //nolint:errcheck // the connection is closed
 		return false
 	}
 }
@@ -149,10 +172,14 @@
 
 func (delivery *delivery) newRequest(ctx context.Context) (*http.Request, error) {
 	head := delivery.call.Head
-	request, err := http.NewRequestWithContext(ctx, head.Method, "http://"+delivery.target.Address+head.Path, bytes.NewReader(delivery.body))
+	request, err := http.NewRequestWithContext(ctx, head.Method, "http://"+delivery.target.Address+head.Path, http.NoBody)
 	if err != nil {
 		return nil, eris.Wrap(err, "target: request")
 	}
+	if head.ContentLength != 0 {
+		request.Body = io.NopCloser(delivery.call.Body)
+		request.ContentLength = head.ContentLength
+	}
 	request.Host = head.Authority
 	request.Header = head.Header.Clone()
 	if request.Header == nil {
