Callers: bound the memory for bodies and the connections

A body in chunks counted as 4 KiB, one with a length only while it was received, and the entry held it until the response in a buffer of up to twice its size. Connections were not bounded. Bodies are now held in pieces of one budget from the first byte until the response has come. If it is exhausted, the body without progress for the longest time, at least 1 s, gets 408; if there is none, the new one gets 503. Headers count twice their length. At the limit of connections, the one that has been idle longest is closed, or one whose request makes no progress, or the new one. There are metrics for each.

--- a/core/suspect/table.go
+++ b/core/suspect/table.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,10 +32,10 @@
 
 // FingerprintOf returns the fingerprint of a call and its body, or the
 // beginning of a long body.
-func FingerprintOf(head balsamproxy.CallHead, body []byte) Fingerprint {
+func FingerprintOf(head balsamproxy.CallHead, body io.Reader) Fingerprint {
 	digest := sha256.New()
 	_, _ = fmt.Fprintf(digest, "%q %q %q %q\n", head.Account, head.Service, head.Method, head.Path)
-	_, _ = digest.Write(body)
+	_, _ = io.Copy(digest, body)
 	var fingerprint Fingerprint
 	copy(fingerprint[:], digest.Sum(nil))
 	return fingerprint
--- a/core/suspect/table_test.go
+++ b/core/suspect/table_test.go
@@ -1,6 +1,7 @@
 package suspect_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -32,7 +33,7 @@
 		t.Run(name, func(t *testing.T) {
 			table := &suspect.Table{}
 			now := time.Unix(1_000_000, 0)
-			fingerprint := suspect.FingerprintOf(balsamproxy.CallHead{Path: "/poison"}, []byte("body"))
+			fingerprint := suspect.FingerprintOf(balsamproxy.CallHead{Path: "/poison"}, strings.NewReader("body"))
 			for _, step := range steps {
 				now = now.Add(step.after)
 				if step.crash != "" {
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"time"
@@ -109,7 +108,7 @@
 		Service: transaction.service,
 		Method:  transaction.request.Head.Method,
 		Path:    transaction.requestTarget(),
-	}, transaction.request.Body)
+	}, transaction.request.Body.NewReader())
 }
 
 // choose returns the next target and the maximum wait there.
@@ -146,7 +145,7 @@
 func (transaction *transaction) placementCall() placement.Call {
 	return placement.Call{
 		Route:     transaction.route.ID,
-		Bytes:     len(transaction.request.Body),
+		Bytes:     int(transaction.request.Body.Len()),
 		Objective: transaction.objective(),
 		Excluded:  transaction.attempts.excluded,
 		Tried:     transaction.attempts.tried,
@@ -214,7 +213,7 @@
 	entry.Chooser.Begin(target, start)
 	call := balsamproxy.Call{
 		Head:     transaction.head(target, maxWait),
-		Body:     bytes.NewReader(transaction.request.Body),
+		Body:     transaction.request.Body.NewReader(),
 		Recalled: transaction.recalled,
 	}
 	response, err := transaction.forward(ctx, endpoint.Host, call)
@@ -271,7 +270,7 @@
 		Method:        transaction.request.Head.Method,
 		Path:          transaction.requestTarget(),
 		Header:        transaction.header,
-		ContentLength: int64(len(transaction.request.Body)),
+		ContentLength: transaction.request.Body.Len(),
 		Authority:     transaction.request.Head.Host,
 		Caller:        transaction.entry.Service(),
 		Nested:        transaction.nested,
--- a/io/fleet/dispatcher.go
+++ b/io/fleet/dispatcher.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -109,7 +110,7 @@
 
 func (attempts *attempts) fingerprint() suspect.Fingerprint {
 	buffered, _ := attempts.body.Buffered()
-	return suspect.FingerprintOf(attempts.request.Head, buffered)
+	return suspect.FingerprintOf(attempts.request.Head, bytes.NewReader(buffered))
 }
 
 // try chooses a target and sends the call to it.
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -26,6 +26,8 @@
 	// pending holds the requests in flight in order of arrival.
 	pending  chan *pending
 	inFlight atomic.Int64
+	// receiving tells whether a request is being received.
+	receiving atomic.Int32
 	// closing is set once no further request will be served.
 	closing atomic.Bool
 	// idleMutex guards the read deadline while no request is in flight.
@@ -33,6 +35,8 @@
 	// closeIdleAt is when the connection closes if it is idle, zero if only the idle
 	// timeout closes it.
 	closeIdleAt time.Time
+	// idleSince is when the last request in flight ended or the connection began.
+	idleSince time.Time
 }
 
 // pending is one request whose response has not been written yet.
@@ -55,6 +59,8 @@
 		reader:  bufio.NewReaderSize(limited, bufferBytes),
 		writer:  bufio.NewWriterSize(conn, bufferBytes),
 		pending: make(chan *pending, pipelineMax),
+
+		idleSince: time.Now(),
 	}
 }
 
@@ -91,6 +97,8 @@
 			return errClosing
 		}
 		connection.server.inFlight.Add(1)
+		connection.limited.noteProgress()
+		connection.receiving.Store(receiving)
 		next := connection.receive()
 		if next.request != nil && previous != nil && !mayPipeline(next.request.Head) {
 			<-previous.done
@@ -125,7 +133,11 @@
 func (connection *connection) endRequest() {
 	connection.idleMutex.Lock()
 	defer connection.idleMutex.Unlock()
-	if connection.inFlight.Add(-1) == 0 && !connection.closing.Load() {
+	if connection.inFlight.Add(-1) != 0 {
+		return
+	}
+	connection.idleSince = time.Now()
+	if !connection.closing.Load() {
 		connection.setIdleDeadline()
 	}
 }
@@ -230,7 +242,9 @@
 // start runs the handler in a new goroutine.
 func (connection *connection) start(ctx context.Context, next *pending) {
 	task.Start(ctx, func(ctx context.Context) error {
-		next.response <- connection.server.Handler.Handle(ctx, next.request)
+		response := connection.server.Handler.Handle(ctx, next.request)
+		next.request.Body.Release()
+		next.response <- response
 		return nil
 	})
 }
--- a/io/http1/receive.go
+++ b/io/http1/receive.go
@@ -1,14 +1,15 @@
 package http1
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"balsamproxy"
+	"balsamproxy/core/memory"
 )
 
 // limitedReader reads from a connection. While enabled, it limits the number of
@@ -17,6 +18,8 @@
 	reader    io.Reader
 	remaining int
 	enabled   bool
+	// progressAt is when it last read anything, in Unix nanoseconds.
+	progressAt atomic.Int64
 }
 
 var errHeaderTooLong = errors.New("http1: header too long")
@@ -31,27 +34,45 @@
 // Read fails with errHeaderTooLong once the limit is exhausted.
 func (limited *limitedReader) Read(buffer []byte) (int, error) {
 	if !limited.enabled {
-		return limited.reader.Read(buffer)
+		return limited.read(buffer)
 	}
 	if limited.remaining <= 0 {
 		return 0, errHeaderTooLong
 	}
-	count, err := limited.reader.Read(buffer[:min(len(buffer), limited.remaining)])
+	count, err := limited.read(buffer[:min(len(buffer), limited.remaining)])
 	limited.remaining -= count
 	return count, err
 }
 
+func (limited *limitedReader) read(buffer []byte) (int, error) {
+	count, err := limited.reader.Read(buffer)
+	if count > 0 {
+		limited.noteProgress()
+	}
+	return count, err
+}
+
+func (limited *limitedReader) noteProgress() { limited.progressAt.Store(time.Now().UnixNano()) }
+
 // receive reads one request with its body. For a refused request it returns a
 // pending without request that already has its response.
 func (connection *connection) receive() *pending {
 	limits := connection.server.Handler.Limits().withDefaults()
 	next := &pending{response: make(chan Response, 1), done: make(chan struct{})}
 	head, refusal := connection.receiveHead(limits)
-	var body []byte
+	body := connection.server.budget().NewBody()
 	if refusal == nil {
-		body, refusal = connection.receiveBody(head, limits)
+		refusal = connection.holdHead(body, limits)
+	}
+	if refusal == nil {
+		refusal = connection.receiveBody(body, head, limits)
+	}
+	if !connection.endReceiving() {
+		// The caller does not get the response.
+		refusal = balsamproxy.NotRun(balsamproxy.ReasonOverloaded, "the connection was closed in favour of another one")
 	}
 	if refusal != nil {
+		body.Release()
 		next.closeAfter = true
 		next.response <- connection.server.Handler.HandleMalformed(refusal)
 		return next
@@ -79,6 +100,16 @@
 	return head, nil
 }
 
+// holdHead counts the memory of the header that was received last. A caller may have
+// many requests in flight on one connection.
+func (connection *connection) holdHead(body *memory.Body, limits Limits) *balsamproxy.Refusal {
+	length := limits.HeaderBytes - connection.limited.remaining - connection.reader.Buffered()
+	if connection.server.reclaim(func() bool { return body.Charge(int64(headFactor * length)) }) {
+		return nil
+	}
+	return connection.server.refuseBody()
+}
+
 // validFieldNames reports whether all field names are tokens. Other programs
 // might parse a name that contains a space as a different field.
 func validFieldNames(header http.Header) bool {
@@ -96,32 +127,6 @@
 // control characters and white space.
 const separators = "()<>@,;:\\\"/[]?={}"
 
-// receiveBody reads and buffers the body.
-func (connection *connection) receiveBody(head *http.Request, limits Limits) ([]byte, *balsamproxy.Refusal) {
-	if head.Body == http.NoBody || head.ContentLength == 0 {
-		return nil, nil
-	}
-	if head.Header.Get("Expect") != "" {
-		connection.sendContinue()
-	}
-	_ = connection.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	server := connection.server
-	expected := max(head.ContentLength, bufferBytes)
-	defer server.bufferedBodies.Add(-expected)
-	if server.bufferedBodies.Add(expected) > bufferedBodiesMax {
-		return nil, balsamproxy.NotRun(balsamproxy.ReasonOverloaded, "too many bytes of bodies are held")
-	}
-	var body bytes.Buffer
-	count, err := io.Copy(&body, io.LimitReader(head.Body, int64(limits.BodyBytes)+1))
-	switch {
-	case count > int64(limits.BodyBytes):
-		return nil, balsamproxy.NotRun(balsamproxy.ReasonTooLarge, "the body is longer than allowed")
-	case err != nil || (head.ContentLength > 0 && count != head.ContentLength):
-		return nil, balsamproxy.NotRun(balsamproxy.ReasonBadRequest, "the body ended early")
-	}
-	return body.Bytes(), nil
-}
-
 // sendContinue sends 100 Continue. It must not interleave with a response, so it
 // does nothing while other requests of the connection are in flight.
 func (connection *connection) sendContinue() {
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"balsamproxy"
+	"balsamproxy/core/memory"
 	"balsamproxy/task"
 )
 
@@ -72,15 +73,19 @@
 	// writeTimeout is the time limit for one write to a caller that does not
 	// read.
 	writeTimeout = 10 * time.Second
-	// bufferedBodiesMax is the maximum total size of the bodies being received.
-	bufferedBodiesMax = 64 << 20
-	bufferBytes       = 4 << 10
+	// defaultBodyMemory is the size of the budget of a server without one.
+	defaultBodyMemory = 64 << 20
+	// defaultMaxConnections is the default of Server.MaxConnections.
+	defaultMaxConnections = 4096
+	bufferBytes           = 4 << 10
 )
 
 // Request is one request whose body has been received.
 type Request struct {
 	Head *http.Request
-	Body []byte
+	// Body is released when Handle returns; until then the request may be sent again.
+	// It may be nil if there is none.
+	Body *memory.Body
 	// ReadAt is when the request was read completely.
 	ReadAt time.Time
 }
@@ -114,14 +119,20 @@
 // Server serves callers. Handler must be set.
 type Server struct {
 	Handler Handler
+	// Bodies bounds the memory for bodies of requests. If nil, it is 64 MiB.
+	Bodies *memory.Budget
+	// MaxConnections bounds the open connections; zero means 4,096.
+	MaxConnections int
 
-	draining       atomic.Bool
-	mutex          sync.Mutex
-	connections    connectionSet
-	closeIdleAt    time.Time
-	serving        task.Group
-	bufferedBodies atomic.Int64
-	inFlight       atomic.Int64
+	draining      atomic.Bool
+	mutex         sync.Mutex
+	connections   connectionSet
+	closeIdleAt   time.Time
+	serving       task.Group
+	inFlight      atomic.Int64
+	receptions    receptions
+	counts        counts
+	defaultBodies sync.Once
 }
 
 // Serve accepts connections until ctx ends, the listener is closed or StopAccepting is
@@ -184,7 +195,10 @@
 // start serves an accepted connection.
 func (server *Server) start(ctx context.Context, accepted net.Conn) {
 	connection := newConnection(server, accepted)
-	server.add(connection)
+	if !server.add(connection) {
+		_ = accepted.Close()
+		return
+	}
 	server.serving.Start(ctx, connection.serve, func(error) { server.remove(connection) })
 }
 
@@ -197,9 +211,13 @@
 	return errors.As(err, &operation) && !errors.Is(err, net.ErrClosed)
 }
 
-func (server *Server) add(connection *connection) {
+// add adds a connection. It returns false if there are too many.
+func (server *Server) add(connection *connection) bool {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
+	if !server.makeRoomLocked() {
+		return false
+	}
 	if server.connections == nil {
 		server.connections = connectionSet{}
 	}
@@ -207,6 +225,7 @@
 	if !server.closeIdleAt.IsZero() {
 		connection.closeIdle(server.closeIdleAt)
 	}
+	return true
 }
 
 func (server *Server) remove(connection *connection) {
--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -42,7 +42,8 @@
 			handler.disconnected <- path
 		}
 	}
-	body := []byte(fmt.Sprintf("%s %s %s", request.Head.Method, path, request.Body))
+	received, _ := io.ReadAll(request.Body.NewReader())
+	body := []byte(fmt.Sprintf("%s %s %s", request.Head.Method, path, received))
 	response := http1.Response{Status: 200, ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body))}
 	switch path {
 	case "/unknown-length":
@@ -61,6 +62,7 @@
 func (handler *handler) HandleMalformed(refusal *balsamproxy.Refusal) http1.Response {
 	status := map[balsamproxy.Reason]int{
 		balsamproxy.ReasonBadRequest: 400, balsamproxy.ReasonTooLarge: 413, balsamproxy.ReasonHeaderTooLarge: 431,
+		balsamproxy.ReasonOverloaded: 503, balsamproxy.ReasonBodyStalled: 408,
 	}[refusal.Reason]
 	return http1.Response{Status: status}
 }
@@ -85,8 +87,19 @@
 
 func serve(t *testing.T, listener net.Listener, release map[string]chan struct{}) (*http1.Server, *handler) {
 	t.Helper()
+	server, handler := prepare(release)
+	run(t, server, listener)
+	return server, handler
+}
+
+func prepare(release map[string]chan struct{}) (*http1.Server, *handler) {
 	handler := &handler{started: make(chan string, 64), disconnected: make(chan string, 64), release: release}
-	server := &http1.Server{Handler: handler}
+	return &http1.Server{Handler: handler}, handler
+}
+
+// run runs a server until the test ends.
+func run(t *testing.T, server *http1.Server, listener net.Listener) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := task.Start(ctx, func(ctx context.Context) error { return server.Serve(ctx, listener) })
 	t.Cleanup(func() {
@@ -95,7 +108,6 @@
 		<-ended
 		<-server.Done()
 	})
-	return server, handler
 }
 
 func dial(t *testing.T, listener net.Listener) net.Conn {
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -56,10 +56,6 @@
 	// gcPercent makes the Go runtime collect garbage earlier than usual. The memory
 	// of a daemon is mostly idle links, which cost little to mark.
 	gcPercent = 25
-	// bodyMemoryDivisor gives the fraction of the memory setting that bodies of
-	// responses may use, defaultBodyMemory is used without that setting.
-	bodyMemoryDivisor = 4
-	defaultBodyMemory = 64 << 20
 	// requestRetryShare is the fraction of the fleet's retry ratio used for
 	// retries of requests of callers. The rest is reserved for retries of the
 	// calls that they cause.
@@ -99,6 +95,7 @@
 	table      membership.Table
 	budget     budget.Budget
 	view       *view
+	bodies     *memory.Budget
 	local      *target.Local
 	peerServer *peer.Server
 	pool       *peer.Pool
@@ -166,6 +163,7 @@
 	daemon.budget.SetMax(settings.RepeatSlack * retrySlackShare)
 	daemon.crashes.onReport = daemon.announce
 	daemon.view = newView(settings.Host, settings.DataCentre, &daemon.table, log, time.Now)
+	daemon.bodies = memory.NewBudget(settings.BodyMemory())
 	daemon.wirePeers()
 	daemon.wireStore()
 	daemon.wireRequestPath()
@@ -180,7 +178,7 @@
 		Record:  daemon.recordTargets,
 		Log:     daemon.log,
 		Metrics: daemon.metrics,
-		Bodies:  &memory.Budget{Bytes: daemon.bodyMemory()},
+		Bodies:  daemon.bodies,
 	}
 	daemon.peerServer = &peer.Server{Local: daemon.local, Status: daemon.status, OnStatus: daemon.handleGreeting}
 	daemon.pool = &peer.Pool{
@@ -195,14 +193,6 @@
 	}
 }
 
-// bodyMemory returns the memory for bodies of responses, in bytes.
-func (daemon *Daemon) bodyMemory() int64 {
-	if daemon.settings.MemoryMB == 0 {
-		return defaultBodyMemory
-	}
-	return int64(daemon.settings.MemoryMB) << 20 / bodyMemoryDivisor
-}
-
 func (daemon *Daemon) wireStore() {
 	daemon.registry = &registry.Registry{
 		Store:       daemon.platform.Store,
@@ -293,7 +283,11 @@
 		Crashes:    &daemon.crashes,
 		Throttle:   &throttle.Throttle{},
 	}
-	daemon.callers = &http1.Server{Handler: daemon.entry}
+	daemon.callers = &http1.Server{
+		Handler:        daemon.entry,
+		Bodies:         daemon.bodies,
+		MaxConnections: daemon.settings.MaxCallerConnections(descriptorLimit()),
+	}
 }
 
 // status returns the status that this daemon sends to peers.
--- /dev/null
+++ b/io/mesh/limits.go
@@ -0,0 +1,52 @@
+package mesh
+
+import (
+	"context"
+	"math"
+	"syscall"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"balsamproxy/io/http1"
+	"balsamproxy/task"
+)
+
+// limitsInterval is the interval between two updates of the metrics of limits.
+const limitsInterval = time.Second
+
+// descriptorLimit returns the maximum number of descriptors of this process.
+func descriptorLimit() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return math.MaxInt32
+	}
+	return int(limit.Cur)
+}
+
+// watchLimits exports the use of memory for bodies and of connections, until ctx ends.
+func (daemon *Daemon) watchLimits(ctx context.Context) error {
+	tagged := func(key, value string) tally.Scope {
+		return daemon.metrics.Tagged(map[string]string{key: value})
+	}
+	total := tagged("bodies", "all").Gauge("body_memory_bytes")
+	requests := tagged("bodies", "requests").Gauge("body_memory_bytes")
+	large := tagged("bodies", "large-requests").Gauge("body_memory_bytes")
+	connections := daemon.metrics.Gauge("caller_connections")
+	refused := tagged("cause", "no-memory").Counter("bodies_given_up")
+	abandoned := tagged("cause", "stalled").Counter("bodies_given_up")
+	closed := daemon.metrics.Counter("caller_connections_closed")
+	var last http1.Counts
+	return task.Every(ctx, limitsInterval, func(context.Context, time.Time) {
+		usage := daemon.bodies.Usage()
+		total.Update(float64(usage.Total))
+		requests.Update(float64(usage.Requests))
+		large.Update(float64(usage.Large))
+		connections.Update(float64(daemon.callers.Connections()))
+		counts := daemon.callers.Counts()
+		refused.Inc(counts.RefusedBodies - last.RefusedBodies)
+		abandoned.Inc(counts.AbandonedBodies - last.AbandonedBodies)
+		closed.Inc(counts.ClosedConnections - last.ClosedConnections)
+		last = counts
+	})
+}
--- a/io/mesh/run.go
+++ b/io/mesh/run.go
@@ -98,6 +98,7 @@
 	running.startTask(daemon.registry.RunLeases)
 	running.startTask(daemon.local.Run)
 	running.startTask(daemon.watchProcessor)
+	running.startTask(daemon.watchLimits)
 	running.startTask(daemon.runAnnounce)
 	running.startTask(running.dial)
 	running.startTask(running.fetchConfigs)
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"balsamproxy"
+	"balsamproxy/core/memory"
 	"balsamproxy/task"
 )
 
@@ -182,6 +183,10 @@
 	exchange.cancel = cancel
 	exchange.body = task.Start(ctx, func(ctx context.Context) error {
 		err := exchange.stream.writeBody(ctx, body)
+		if errors.Is(err, memory.ErrReleased) {
+			// The response has come; a cancellation would cut it off.
+			return nil
+		}
 		if err != nil {
 			_ = exchange.stream.link.send(&frame{Stream: exchange.stream.id, Cancel: true})
 			exchange.stream.inbound.fail(eris.Wrap(err, "request body"))
--- a/refusal.go
+++ b/refusal.go
@@ -21,6 +21,7 @@
 const (
 	ReasonBadRequest                Reason = "bad-request"
 	ReasonTooLarge                  Reason = "too-large"
+	ReasonBodyStalled               Reason = "body-stalled"
 	ReasonHeaderTooLarge            Reason = "header-too-large"
 	ReasonConfigurationNotConfirmed Reason = "configuration-not-confirmed"
 	ReasonDeepServiceOverloaded     Reason = "deep-service-overloaded"
