--- a/core/settings/mesh.go
+++ b/core/settings/mesh.go
@@ -44,10 +44,16 @@
 	MemoryMB int `json:"memory-mb,omitempty"`
 	// ShedByCost makes the daemon shed requests at the entry by what they cost at
 	// services that are short of capacity.
-	ShedByCost bool   `json:"shed-by-cost,omitempty"`
-	LogLevel   string `json:"log-level,omitempty"`
+	ShedByCost bool `json:"shed-by-cost,omitempty"`
 	// Placement is the policy by which the targets of calls are selected.
 	Placement Placement `json:"placement,omitempty"`
+	// BodyMemoryMB is the memory for bodies of requests and responses in megabytes;
+	// zero means the default.
+	BodyMemoryMB int `json:"body-memory-mb,omitempty"`
+	// CallerConnections is the maximum number of connections of callers; zero means
+	// the default.
+	CallerConnections int    `json:"caller-connections,omitempty"`
+	LogLevel          string `json:"log-level,omitempty"`
 }
 
 // Placement names a policy of core/placement.
@@ -100,6 +106,7 @@
 	if mesh.MemoryMB < 0 {
 		faults.Add("/memory-mb", "%d is below 0", mesh.MemoryMB)
 	}
+	mesh.checkLimits(&faults)
 	checkLogLevel(&faults, mesh.LogLevel)
 	if mesh.Placement != PlacementLowestCost && mesh.Placement != PlacementFreeRoom {
 		faults.Add("/placement", "%q is neither %q nor %q", mesh.Placement, PlacementLowestCost, PlacementFreeRoom)
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -57,10 +57,6 @@
 	// gcPercent makes the Go runtime collect garbage earlier than usual. The memory
 	// of a daemon is mostly idle links, which cost little to mark.
 	gcPercent = 25
-	// bodyMemoryDivisor gives the fraction of the memory setting that bodies of
-	// responses may use, defaultBodyMemory is used without that setting.
-	bodyMemoryDivisor = 4
-	defaultBodyMemory = 64 << 20
 	// requestRetryShare is the fraction of the fleet's retry ratio used for
 	// retries of requests of callers. The rest is reserved for retries of the
 	// calls that they cause.
@@ -108,6 +104,7 @@
 	table       membership.Table
 	budget      budget.Budget
 	view        *view
+	bodies      *memory.Budget
 	local       *target.Local
 	peerServer  *peer.Server
 	pool        *peer.Pool
@@ -178,6 +175,7 @@
 	daemon.budget.SetMax(settings.RepeatSlack * retrySlackShare)
 	daemon.crashes.onReport = daemon.announce
 	daemon.view = newView(settings.Host, settings.DataCentre, &daemon.table, log, time.Now)
+	daemon.bodies = memory.NewBudget(settings.BodyMemory())
 	daemon.wirePeers()
 	daemon.wireStore()
 	daemon.wireRequestPath()
@@ -196,7 +194,7 @@
 		WarmUpRate: daemon.warmUpRate,
 		Evacuated:  func() bool { return daemon.evacuations.Contains(daemon.settings.DataCentre) },
 
-		Bodies: &memory.Budget{Bytes: daemon.bodyMemory()},
+		Bodies: daemon.bodies,
 	}
 	daemon.peerServer = &peer.Server{Local: daemon.local, Status: daemon.status, OnStatus: daemon.handleGreeting}
 	daemon.pool = &peer.Pool{
@@ -220,14 +218,6 @@
 	return index.WarmUpRate(service)
 }
 
-// bodyMemory returns the memory for bodies of responses, in bytes.
-func (daemon *Daemon) bodyMemory() int64 {
-	if daemon.settings.MemoryMB == 0 {
-		return defaultBodyMemory
-	}
-	return int64(daemon.settings.MemoryMB) << 20 / bodyMemoryDivisor
-}
-
 func (daemon *Daemon) wireStore() {
 	daemon.registry = &registry.Registry{
 		Store:       daemon.platform.Store,
@@ -335,7 +325,11 @@
 		daemon.entry.Prices = &pricing.Prices{}
 		daemon.entry.RecordCall = daemon.local.RecordCall
 	}
-	daemon.callers = &http1.Server{Handler: daemon.entry}
+	daemon.callers = &http1.Server{
+		Handler:        daemon.entry,
+		Bodies:         daemon.bodies,
+		MaxConnections: daemon.settings.MaxCallerConnections(descriptorLimit()),
+	}
 }
 
 // placement returns the policy by which the targets of calls are selected.
