Cold targets: the rate holds from the arrival of the configuration on

Cause: after a power failure targets announce themselves as cold before their daemon has the configuration, and the rate was read at the announcement only.

Until the configuration is known, cold targets and those of an earlier run get five calls a second.

--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -209,13 +209,14 @@
 	}
 }
 
-// warmUpRate returns the calls per second that a cold target of a service takes.
-func (daemon *Daemon) warmUpRate(service balsamproxy.ServiceID) float64 {
+// warmUpRate returns the calls per second that a cold target of a service takes, and
+// false while no configuration is in force.
+func (daemon *Daemon) warmUpRate(service balsamproxy.ServiceID) (float64, bool) {
 	index := daemon.current.Index()
 	if index == nil {
-		return 0
+		return 0, false
 	}
-	return index.WarmUpRate(service)
+	return index.WarmUpRate(service), true
 }
 
 func (daemon *Daemon) wireStore() {
--- a/io/target/delivery.go
+++ b/io/target/delivery.go
@@ -98,7 +98,7 @@
 	if !found || state.Leaving || state.Down || state.Target.Service != head.Service {
 		return state, nil
 	}
-	if state.Restored {
+	if state.Restored || now.Before(state.ColdUntil) {
 		// The configuration, and with it the rate of a cold target, may have come since.
 		local.updateSlotsLocked(head.Target, now)
 	}
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -43,8 +43,9 @@
 	Log     zerolog.Logger
 	Metrics tally.Scope
 	// WarmUpRate returns the calls per second that a cold target of a service takes,
-	// zero if there is no limit; nil means that there is none for any service.
-	WarmUpRate func(service balsamproxy.ServiceID) float64
+	// zero if there is no limit, and false while no configuration is known; nil means
+	// that there is no limit for any service.
+	WarmUpRate func(service balsamproxy.ServiceID) (float64, bool)
 	// Evacuated reports whether the operator has evacuated the data centre of this
 	// host; nil means that it never does.
 	Evacuated func() bool
@@ -79,7 +80,7 @@
 // wraps announced.ErrInvalid if the announcement names no usable target.
 func (local *Local) Announce(announcement balsamproxy.Announcement) error {
 	now := local.Clock.Now()
-	if announcement.WarmupRemaining > 0 && announcement.Target.State == balsamproxy.TargetReady && local.warmUpRate(announcement.Target.Service) > 0 {
+	if announcement.WarmupRemaining > 0 && announcement.Target.State == balsamproxy.TargetReady && local.hasWarmUpRate(announcement.Target.Service) {
 		announcement.Target.State = balsamproxy.TargetCold
 	}
 	local.mutex.Lock()
@@ -158,11 +159,29 @@
 // host. Its next announcement tells.
 const restoredWarmUp = 3 * time.Second
 
+// unknownWarmUpRate is the warm-up rate assumed while no configuration is known. It
+// counts for some tenths of a second after a restart, in which a target that restarted
+// with its host could otherwise get the calls of many peers.
+const unknownWarmUpRate = 5
+
 func (local *Local) warmUpRate(service balsamproxy.ServiceID) float64 {
 	if local.WarmUpRate == nil {
 		return 0
 	}
-	return local.WarmUpRate(service)
+	if rate, known := local.WarmUpRate(service); known {
+		return rate
+	}
+	return unknownWarmUpRate
+}
+
+// hasWarmUpRate reports whether the configuration is known to limit the calls to cold
+// targets of a service.
+func (local *Local) hasWarmUpRate(service balsamproxy.ServiceID) bool {
+	if local.WarmUpRate == nil {
+		return false
+	}
+	rate, known := local.WarmUpRate(service)
+	return known && rate > 0
 }
 
 // evacuated reports whether the operator has evacuated this data centre.
