--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
