--- a/io/entry/refusal.go
+++ b/io/entry/refusal.go
@@ -77,4 +77,3 @@
 	}).Counter("requests").Inc(1)
 	return entry.refusal("", refusal)
 }
-
