--- a/core/pricing/prices.go
+++ b/core/pricing/prices.go
@@ -49,6 +49,12 @@
 	// priorityFactor is the ratio of the cost that counts for a request to that of
 	// one of the next lower priority.
 	priorityFactor = 0.5
+	// returnedFactor is the factor for the cost of a request that has been refused
+	// before: its caller has waited, and is lost if it is refused again.
+	returnedFactor = 0.25
+	// returnedLeft is the fraction of the usual time left below which a request has
+	// probably been refused before.
+	returnedLeft = 0.9
 	// minAdmitted is the minimum probability of admission. It keeps every kind of
 	// request served at times, and its responses report when the shortage ends.
 	minAdmitted = 0.12
@@ -68,6 +74,13 @@
 	Priority balsamproxy.Priority
 }
 
+// Arrival describes a request that asks for admission.
+type Arrival struct {
+	Class
+	// Left is the time until the caller's deadline, zero if it is not known.
+	Left time.Duration
+}
+
 // Prices holds the prices of services and the costs of classes. The zero value admits
 // all requests until a service reports that it is short of capacity. It is safe for
 // concurrent use.
@@ -81,6 +94,9 @@
 type classCosts struct {
 	work   map[balsamproxy.ServiceID]float64
 	usedAt time.Time
+	// usualLeft is the longest time left of the requests of the class. Callers that
+	// return have less.
+	usualLeft time.Duration
 }
 
 // servicePrice is the price of one service. The smoothed price is below zero while
@@ -100,19 +116,24 @@
 
 // Admit reports whether to admit a request. The random number is uniformly distributed
 // in [0, 1).
-func (prices *Prices) Admit(class Class, random float64, now time.Time) bool {
+func (prices *Prices) Admit(arrival Arrival, random float64, now time.Time) bool {
 	prices.mutex.Lock()
 	defer prices.mutex.Unlock()
-	costs, known := prices.classes[class]
+	costs, known := prices.classes[arrival.Class]
 	if !known {
 		return true
 	}
 	costs.usedAt = now
-	return random < prices.probability(class, now)
+	costs.usualLeft = max(costs.usualLeft, arrival.Left)
+	exponent := prices.exponent(arrival.Class, now)
+	if float64(arrival.Left) < returnedLeft*float64(costs.usualLeft) {
+		exponent *= returnedFactor
+	}
+	return random < max(math.Exp(-exponent), minAdmitted)
 }
 
-// probability returns the probability with which requests of a class are admitted.
-func (prices *Prices) probability(class Class, now time.Time) float64 {
+// exponent returns the sum of the price times the cost of a class over all services.
+func (prices *Prices) exponent(class Class, now time.Time) float64 {
 	exponent := 0.0
 	for service := range prices.classes[class].work {
 		price, known := prices.services[service]
@@ -124,7 +145,7 @@
 			exponent += current * prices.weight(class, service)
 		}
 	}
-	return max(math.Exp(-exponent), minAdmitted)
+	return exponent
 }
 
 // weight returns the cost of a class at a service relative to the mean, reduced by its
--- a/core/pricing/prices_test.go
+++ b/core/pricing/prices_test.go
@@ -131,7 +131,7 @@
 		for arrivals := kind.rate * load * step.Seconds(); model.random.Float64() < arrivals; arrivals-- {
 			model.count(name, func(result *result) { result.sent++ })
 			entry := model.random.IntN(entryCount)
-			if model.prices != nil && !model.prices[entry].Admit(kind.class, model.random.Float64(), now) {
+			if model.prices != nil && !model.prices[entry].Admit(Arrival{Class: kind.class}, model.random.Float64(), now) {
 				continue
 			}
 			model.count(name, func(result *result) { result.admitted++ })
@@ -246,3 +246,24 @@
 	assert.Assert(t, prices.Price(deep, now) > 1)
 	assert.Assert(t, prices.Price(deep, now.Add(8*time.Second)) < 0.05)
 }
+
+// TestReturningCallers guards against callers that are refused again and again: one that
+// has waited goes before one that has just come. The service is short by a third.
+func TestReturningCallers(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2)) //nolint:gosec // the schedule must be reproducible
+	prices := &Prices{}
+	class := Class{"browse", 5}
+	now := time.Unix(0, 0)
+	admitted := map[time.Duration]int{}
+	for range 2000 {
+		now = now.Add(step)
+		prices.Record(class, []balsamproxy.ServiceCost{{Service: deep, Work: time.Second, Pressure: 1.5 * math.Exp(-prices.Price(deep, now))}}, now, now)
+		for _, left := range []time.Duration{5 * time.Second, 3 * time.Second} {
+			if prices.Admit(Arrival{Class: class, Left: left}, random.Float64(), now) {
+				admitted[left]++
+			}
+		}
+	}
+	assert.Assert(t, admitted[3*time.Second] > admitted[5*time.Second]*5/4, "%v", admitted)
+	assert.Assert(t, admitted[5*time.Second] > 500, "%v", admitted)
+}
--- a/io/entry/price.go
+++ b/io/entry/price.go
@@ -19,7 +19,8 @@
 		return nil
 	}
 	now := entry.Clock.Now()
-	if entry.Prices.Admit(transaction.priceClass(), entry.Random(), now) {
+	arrival := pricing.Arrival{Class: transaction.priceClass(), Left: transaction.caller.Timeout}
+	if entry.Prices.Admit(arrival, entry.Random(), now) {
 		transaction.pricedAt = now
 		return nil
 	}
