--- a/cmd/balsamproxy/check_test.go
+++ b/cmd/balsamproxy/check_test.go
@@ -15,17 +15,11 @@
 	"gotest.tools/v3/assert"
 
 	"balsamproxy/core/config"
+	"balsamproxy/platform/platformtest"
 )
 
-const (
-	ownDocument = `{"client-accounts": [{"id": "planner", "rate": 10, "burst": 20, "keys": [{"id": "k1", "digest": "sha256:0000000000000000000000000000000000000000000000000000000000000000"}]}],
+const ownDocument = `{"client-accounts": [{"id": "planner", "rate": 10, "burst": 20, "keys": [{"id": "k1", "digest": "sha256:0000000000000000000000000000000000000000000000000000000000000000"}]}],
 "routes": [{"id": "browse", "service": "venues", "methods": ["GET"], "path": "/venues/", "access": "keyed", "priority": 2, "idempotent": true, "deadline-ms": 500}]}`
-	platformDocument = `{"version": "01",
-"routes": {"columns": ["name", "host", "prefix", "type", "timeout", "targetLatency", "priority", "maxAttempts", "service"],
-"rows": [["look", "one.example", "/look/", "idempotent", "5s", "2s", 2, 2, "s1"], ["order", "one.example", "/order/", "order", "5s", "2s", 0, 2, "s1"]]},
-"limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeout": "3s", "idleTimeout": "15s"},
-"tenants": {"columns": ["name", "apiKeys", "ratePerS", "burst"], "rows": [["t1", ["secret-1"], 1000, 1000]]}}`
-)
 
 // check runs config check on a document.
 func check(t *testing.T, document string, flags ...string) (status exitStatus, output, problems string) {
@@ -40,7 +34,9 @@
 // or to hold back one with warnings only, and against findings at a wrong place.
 func TestCheck(t *testing.T) {
 	own := func(old, replacement string) string { return strings.Replace(ownDocument, old, replacement, 1) }
-	other := func(old, replacement string) string { return strings.Replace(platformDocument, old, replacement, 1) }
+	other := func(old, replacement string) string {
+		return strings.Replace(platformtest.Document, old, replacement, 1)
+	}
 	cases := map[string]struct {
 		document, format string
 		want             exitStatus
@@ -51,8 +47,8 @@
 		"warning":                     {own("500", `500, "objective-ms": 501`), "own", exitOK, []string{"warning /routes/0/objective-ms"}},
 		"error":                       {own("500", "0"), "own", exitInvalid, []string{"error /routes/0/deadline-ms"}},
 		"no JSON":                     {"{", "own", exitInvalid, []string{"error "}},
-		"other format":                {platformDocument, "own", exitInvalid, []string{"error /limits", "error /routes", "error /tenants", "error /version"}},
-		"platform, good":              {platformDocument, "platform", exitOK, nil},
+		"other format":                {platformtest.Document, "own", exitInvalid, []string{"error /limits", "error /routes", "error /tenants", "error /version"}},
+		"platform, good":              {platformtest.Document, "platform", exitOK, nil},
 		"platform, objective":         {other(`"2s", 0`, `"6s", 0`), "platform", exitOK, []string{"warning /routes/rows/1"}},
 		"platform, hidden route":      {other(`"/order/"`, `"/look/"`), "platform", exitOK, []string{"warning /routes/rows/1"}},
 		"platform, no burst":          {other(`1000, 1000`, `1000, 0.5`), "platform", exitInvalid, []string{"error /tenants/rows/0"}},
@@ -119,7 +115,7 @@
 		"file":              {changed, file(ownDocument), "own", exitOK, []string{"client-account planner changed", "client-account planner key k1 changed", "route browse removed", "route search added"}},
 		"operators' API":    {strings.Replace(ownDocument, "500", "600", 1), server.URL + "/balsamproxy/v1/config", "own", exitOK, []string{"route browse changed"}},
 		"URL":               {strings.Replace(ownDocument, "500", "600", 1), server.URL + "/document", "own", exitOK, []string{"route browse changed"}},
-		"platform":          {strings.NewReplacer("16384", "8192", "secret-1", "secret-2").Replace(platformDocument), file(platformDocument), "platform", exitOK, []string{"callers changed", "client-account t1 key 0 changed"}},
+		"platform":          {strings.NewReplacer("16384", "8192", "secret-1", "secret-2").Replace(platformtest.Document), file(platformtest.Document), "platform", exitOK, []string{"callers changed", "client-account t1 key 0 changed"}},
 		"no such file":      {ownDocument, "/nowhere", "own", exitInvalid, nil},
 		"no document there": {ownDocument, file("<html>"), "own", exitInvalid, nil},
 		"too long":          {ownDocument, server.URL + "/long", "own", exitFailed, nil},
--- a/io/mesh/config_test.go
+++ b/io/mesh/config_test.go
@@ -14,7 +14,7 @@
 	"balsamproxy/core/evidence"
 )
 
-const testKey balsamproxy.StoreKey = "op/config"
+const testKey balsamproxy.StoreKey = "operator/config"
 
 // eraStore is a store with one document, whose version is its value.
 type eraStore struct {
