--- a/core/suspect/table.go
+++ b/core/suspect/table.go
@@ -21,7 +21,8 @@
 	// trialTimeout bounds a trial whose result is never reported.
 	trialTimeout = 30 * time.Second
 	// maxCrashes is the number of crashes after which a request is blocked.
-	maxCrashes = 2
+	maxCrashes      = 2
+	copyBufferBytes = 4 << 10
 	// maxEntries bounds the number of requests in the table.
 	maxEntries = 10_000
 )
@@ -35,7 +36,8 @@
 func FingerprintOf(head balsamproxy.CallHead, body io.Reader) Fingerprint {
 	digest := sha256.New()
 	_, _ = fmt.Fprintf(digest, "%q %q %q %q\n", head.Account, head.Service, head.Method, head.Path)
-	_, _ = io.Copy(digest, body)
+	// io.Copy would allocate a buffer that is longer than most bodies.
+	_, _ = io.CopyBuffer(digest, body, make([]byte, copyBufferBytes))
 	var fingerprint Fingerprint
 	copy(fingerprint[:], digest.Sum(nil))
 	return fingerprint
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -69,6 +69,8 @@
 
 // CrashTracker tracks the requests that crashed targets.
 type CrashTracker interface {
+	// Any reports whether Blocked may be true for any request. Fingerprints take time.
+	Any() bool
 	// Blocked reports whether a request crashed too many targets to be sent.
 	Blocked(fingerprint suspect.Fingerprint, now time.Time) bool
 	// RecordCrash records that a request was in flight when a target crashed.
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -83,6 +83,7 @@
 func (noop) Spend(context.Context, balsamproxy.ClientAccountID) (balsamproxy.Permit, *balsamproxy.Refusal) {
 	return balsamproxy.Permit{}, nil
 }
+func (noop) Any() bool                                                       { return true }
 func (noop) Blocked(suspect.Fingerprint, time.Time) bool                     { return false }
 func (noop) RecordCrash(suspect.Fingerprint, balsamproxy.CrashID, time.Time) {}
 
--- a/io/entry/send.go
+++ b/io/entry/send.go
@@ -100,7 +100,8 @@
 
 // blocked reports whether the request crashed too many targets to be sent.
 func (transaction *transaction) blocked() bool {
-	return transaction.entry.Crashes.Blocked(transaction.fingerprint(), transaction.entry.Clock.Now())
+	crashes := transaction.entry.Crashes
+	return crashes.Any() && crashes.Blocked(transaction.fingerprint(), transaction.entry.Clock.Now())
 }
 
 func (transaction *transaction) fingerprint() suspect.Fingerprint {
--- a/io/mesh/crashes.go
+++ b/io/mesh/crashes.go
@@ -34,6 +34,9 @@
 	at    time.Time
 }
 
+// Any reports whether a crash is known, so that Blocked may be true for a request.
+func (crashes *crashes) Any() bool { return crashes.table.HasEntries() }
+
 // Blocked reports whether a request has crashed too many targets to be sent
 // again.
 func (crashes *crashes) Blocked(fingerprint suspect.Fingerprint, now time.Time) bool {
