Target: reject queued calls when their target leaves

Cause: calls that were queued before a target announced that it leaves were admitted when a slot became free, seconds after the acknowledgement.

--- a/core/admission/controller.go
+++ b/core/admission/controller.go
@@ -241,6 +241,16 @@
 	return decisions
 }
 
+// RejectWaiting rejects all queued calls, because the target leaves.
+func (controller *Controller) RejectWaiting() []Decision {
+	decisions := make([]Decision, 0, len(controller.waiting))
+	for _, request := range controller.waiting {
+		decisions = append(decisions, Decision{Ticket: request.Ticket, Verdict: Full})
+	}
+	controller.waiting = nil
+	return decisions
+}
+
 // Cancel removes a queued call. It returns false if the call was not queued,
 // in which case a decision on it has already been returned.
 func (controller *Controller) Cancel(ticket Ticket) bool {
--- a/io/target/delivery.go
+++ b/io/target/delivery.go
@@ -68,7 +68,7 @@
 	state, queue := local.acceptingLocked(head, now)
 	if queue == nil {
 		local.mutex.Unlock()
-		return balsamproxy.NotRun(balsamproxy.ReasonDraining, "the target takes no work: "+string(head.Target))
+		return leavingRefusal(head.Target)
 	}
 	local.lastTicket++
 	delivery.target, delivery.queue, delivery.ticket = state.Target, queue, local.lastTicket
@@ -91,6 +91,18 @@
 	return delivery.refusalOf(verdict, load)
 }
 
+// mayBeSent reports whether an admitted call may be sent. Its target may have announced
+// that it leaves, or its data centre may have been evacuated, while the call was queued.
+func (delivery *delivery) mayBeSent() bool {
+	local := delivery.local
+	if local.evacuated() {
+		return false
+	}
+	local.mutex.Lock()
+	defer local.mutex.Unlock()
+	return !local.isLeavingLocked(delivery.target.ID)
+}
+
 // acceptingLocked returns the state and the queue of the target of a call, or no queue
 // if the target takes no work. The caller must hold the mutex.
 func (local *Local) acceptingLocked(head balsamproxy.CallHead, now time.Time) (announced.State, *admissionQueue) {
@@ -157,6 +169,9 @@
 		refusal = balsamproxy.NotRun(balsamproxy.ReasonDeadline, "the call could not end in time")
 	default:
 		refusal = balsamproxy.NotRun(balsamproxy.ReasonOverloaded, "the target is full")
+		if !delivery.mayBeSent() {
+			refusal = leavingRefusal(delivery.target.ID)
+		}
 	}
 	refusal.Load = load
 	refusal.RetryAfter = load.Wait
@@ -182,9 +197,9 @@
 		delivery.release(0)
 		return nil, balsamproxy.NotRun(balsamproxy.ReasonCancelled, "nobody waits for the answer")
 	}
-	if delivery.local.evacuated() {
+	if !delivery.mayBeSent() {
 		delivery.release(0)
-		return nil, evacuatedRefusal()
+		return nil, leavingRefusal(delivery.target.ID)
 	}
 	if !delivery.call.Head.Idempotent {
 		// A non-idempotent call cannot be retried, so it continues until its
@@ -217,6 +232,11 @@
 	return balsamproxy.NotRun(balsamproxy.ReasonDraining, "the data centre is evacuated")
 }
 
+// leavingRefusal returns the refusal of a call to a target that takes no work.
+func leavingRefusal(target balsamproxy.TargetID) *balsamproxy.Refusal {
+	return balsamproxy.NotRun(balsamproxy.ReasonDraining, "the target takes no work: "+string(target))
+}
+
 // evaluate converts the response of the target to a response or a refusal.
 func (delivery *delivery) evaluate(received *targetResponse) (*balsamproxy.Response, *balsamproxy.Refusal) {
 	if refusal := delivery.refusedByTarget(received.metadata); refusal != nil {
--- a/io/target/local.go
+++ b/io/target/local.go
@@ -87,6 +87,7 @@
 	changed, err := local.table.Announce(announcement, now)
 	if err == nil {
 		local.updateSlotsLocked(announcement.Target.ID, now)
+		local.rejectIfLeavingLocked(announcement.Target.ID)
 	}
 	local.mutex.Unlock()
 	if errors.Is(err, announced.ErrInvalid) {
@@ -112,6 +113,7 @@
 func (local *Local) Withdraw(target balsamproxy.TargetID, born int64) error {
 	local.mutex.Lock()
 	changed, err := local.table.Withdraw(target, born, local.Clock.Now())
+	local.rejectIfLeavingLocked(target)
 	local.mutex.Unlock()
 	if errors.Is(err, announced.ErrInvalid) {
 		return err
@@ -187,6 +189,20 @@
 // evacuated reports whether the operator has evacuated this data centre.
 func (local *Local) evacuated() bool { return local.Evacuated != nil && local.Evacuated() }
 
+// isLeavingLocked reports whether a target has announced that it leaves.
+func (local *Local) isLeavingLocked(id balsamproxy.TargetID) bool {
+	state, found := local.table.State(id)
+	return found && state.Leaving
+}
+
+// rejectIfLeavingLocked rejects the queued calls of a target that leaves. They have not
+// run, and it may be gone before they would be admitted.
+func (local *Local) rejectIfLeavingLocked(id balsamproxy.TargetID) {
+	if queue, found := local.queues[id]; found && local.isLeavingLocked(id) {
+		queue.notify(queue.controller.RejectWaiting())
+	}
+}
+
 func (queue *admissionQueue) notify(decisions []admission.Decision) {
 	for _, decision := range decisions {
 		if verdicts, found := queue.waiting[decision.Ticket]; found {
