--- a/core/pricing/prices.go
+++ b/core/pricing/prices.go
@@ -55,6 +55,10 @@
 	// returnedLeft is the fraction of the usual time left below which a request has
 	// probably been refused before.
 	returnedLeft = 0.9
+	// usualLeftDecay is the number of requests after which the usual time left has
+	// fallen by two thirds if none had it again: a single caller with a much later
+	// deadline must not make all others look like returning ones.
+	usualLeftDecay = 1000
 	// minAdmitted is the minimum probability of admission. It keeps every kind of
 	// request served at times, and its responses report when the shortage ends.
 	minAdmitted = 0.12
@@ -94,7 +98,7 @@
 type classCosts struct {
 	work   map[balsamproxy.ServiceID]float64
 	usedAt time.Time
-	// usualLeft is the longest time left of the requests of the class. Callers that
+	// usualLeft is the longest time left of recent requests of the class. Callers that
 	// return have less.
 	usualLeft time.Duration
 }
@@ -124,7 +128,7 @@
 		return true
 	}
 	costs.usedAt = now
-	costs.usualLeft = max(costs.usualLeft, arrival.Left)
+	costs.usualLeft = max(costs.usualLeft-costs.usualLeft/usualLeftDecay, arrival.Left)
 	exponent := prices.exponent(arrival.Class, now)
 	if float64(arrival.Left) < returnedLeft*float64(costs.usualLeft) {
 		exponent *= returnedFactor
