--- a/core/callcost/ledger.go
+++ b/core/callcost/ledger.go
@@ -24,6 +24,10 @@
 	// failurePause is how long nothing is learned after a failed call. A request
 	// ends early when one of its calls fails, which would make it look cheap.
 	failurePause = 300 * time.Millisecond
+	// learnedRequests is the number of completed requests, weighted by age, up to which
+	// costs are learned in spite of failures. A daemon that starts in an overload would
+	// otherwise not know any, and costs that are too low for all routes alike do no harm.
+	learnedRequests = 20.0
 	// minRequests is the number of completed requests, weighted by age, from which
 	// on the cost of a route is known.
 	minRequests = 3.0
@@ -47,6 +51,8 @@
 	pressures map[balsamproxy.ServiceID]pressure
 	updatedAt time.Time
 	pausedTo  time.Time
+	// requests counts the completed requests of all routes, weighted by age.
+	requests float64
 }
 
 // routeLedger sums what has been attributed to one route, weighted by age.
@@ -81,11 +87,17 @@
 	ledger.advance(now)
 	found := ledger.route(route)
 	found.inFlight--
-	if !now.Before(ledger.pausedTo) {
+	if !ledger.paused(now) {
 		found.requests++
+		ledger.requests++
 	}
 }
 
+// paused reports whether nothing is learned now, because a call has just failed.
+func (ledger *Ledger) paused(now time.Time) bool {
+	return now.Before(ledger.pausedTo) && ledger.requests >= learnedRequests
+}
+
 func (ledger *Ledger) route(id balsamproxy.RouteID) *routeLedger {
 	found, known := ledger.routes[id]
 	if !known {
@@ -103,10 +115,11 @@
 func (ledger *Ledger) advance(now time.Time) {
 	elapsed := now.Sub(ledger.updatedAt)
 	ledger.updatedAt = now
-	if now.Before(ledger.pausedTo) || elapsed <= 0 {
+	if ledger.paused(now) || elapsed <= 0 {
 		return
 	}
 	decay := math.Exp2(-float64(elapsed) / float64(halfLife))
+	ledger.requests *= decay
 	for _, route := range ledger.routes {
 		route.requests *= decay
 		route.calls *= decay
@@ -128,7 +141,7 @@
 	if failed {
 		ledger.pausedTo = now.Add(failurePause)
 	}
-	if now.Before(ledger.pausedTo) {
+	if ledger.paused(now) {
 		return
 	}
 	total := 0.0
--- a/core/callcost/ledger_test.go
+++ b/core/callcost/ledger_test.go
@@ -99,3 +99,21 @@
 	after := ledger.Costs("lookup", now)[0].Work
 	assert.Assert(t, after > before*9/10, "cost fell from %v to %v", before, after)
 }
+
+// TestStartInOverload guards against a daemon that starts while the calls of its target
+// fail, and never learns what they cost.
+func TestStartInOverload(t *testing.T) {
+	ledger := &Ledger{}
+	now := time.Unix(0, 0)
+	for range 50 {
+		ledger.Begin("lookup", now)
+		now = now.Add(20 * time.Millisecond)
+		ledger.RecordCall([]balsamproxy.ServiceCost{{Service: "deep", Work: 80 * time.Millisecond, Pressure: 1}}, false, now)
+		ledger.RecordCall([]balsamproxy.ServiceCost{{Service: "deep", Pressure: 2}}, true, now)
+		ledger.End("lookup", now)
+	}
+	costs := ledger.Costs("lookup", now)
+	assert.Equal(t, len(costs), 1)
+	assert.Assert(t, costs[0].Work > 40*time.Millisecond, "%v", costs[0].Work)
+	assert.Assert(t, costs[0].Pressure > 1)
+}
