Review: restarted daemons pass on a request that crashes servers

Cause: the requests that crashed servers are known only to the daemons that ran at that time; one that starts later does not ask its peers.

--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,34 +1,35 @@
-// Command 9 shows that a tenant whose row in the configuration has a rate and no burst is
-// refused everything, though it stays far below its rate.
+// Command 9 shows that a request which crashes the servers that run it is passed on again
+// by each daemon that has been stopped and started since.
 package main
 
 import (
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"balsamproxy/review/harness2"
 )
 
 const (
-	changeAt = 5 * time.Second
-	length   = 50 * time.Second
-	// interval is the time between two requests of one tenant at one entry: each tenant
-	// sends 10 a second through two entries, of the 50 that it may.
-	interval = 200 * time.Millisecond
-	// starvedShare is the share of the rule: a tenant must be served a quarter as often as
-	// all.
-	starvedShare = 0.25
-	// withBurst and withoutBurst are the rows of the tenants before and after the change.
-	withBurst    = `["t1", ["key-one"], null, 50, 50], ["t2", ["key-two"], null, 50, 50]`
-	withoutBurst = `["t1", ["key-one"], null, 50, 50], ["t2", ["key-two"], null, 50, null]`
-	// samples is how many requests of a tenant stand in the record one by one.
-	samples = 20
+	servers = 4
+	entries = 4
+	// stableWindow is the bound of the site file.
+	stableWindow = 3 * time.Second
+	// retriesMax is how many retries the rule allows after the third crash.
+	retriesMax = 3
+	// backAfter is how long a server is away after a crash.
+	backAfter = 3 * time.Second
+	work      = 150 * time.Millisecond
+	// poison is the path of the request that crashes servers. It comes again each
+	// poisonGap, poisonPerEntry times at each entry.
+	poison         = "/order/poison"
+	poisonGap      = 3500 * time.Millisecond
+	poisonPerEntry = 3
+	orderGap       = 50 * time.Millisecond
 )
 
-var keys = map[string]string{"t1": "key-one", "t2": "key-two"}
-
 func main() { harness2.Main(play) }
 
 func play(record *harness2.Record) (bool, error) {
@@ -37,143 +38,200 @@
 		return false, err
 	}
 	defer fleet.Close()
-	fleet.PutTenants(8, withBurst)
-	servers, err := start(fleet)
-	for _, server := range servers {
-		defer server.Exit()
+	crowd := &crowd{fleet: fleet}
+	defer crowd.exit()
+	if err := start(fleet, crowd); err != nil {
+		return false, err
 	}
-	if err != nil {
+	orders := startOrders(fleet.Daemons[servers:])
+	sent := 0
+	sendPoison(record, fleet.Daemons[servers], &sent)
+	for _, entry := range fleet.Daemons[servers:] {
+		if harness2.Trouble() {
+			if err := restart(record, entry); err != nil {
+				return false, err
+			}
+		}
+		sendPoison(record, entry, &sent)
+	}
+	answers := orders.stop()
+	if err := fleet.CheckAlive(); err != nil {
 		return false, err
 	}
-	clients := startClients(fleet.Daemons[:2])
-	begin := time.Now()
-	time.Sleep(changeAt)
-	rows := withBurst
-	if harness2.Trouble() {
-		rows = withoutBurst
-	}
-	fleet.PutTenants(9, rows)
-	record.Add("the operator writes version 9, tenants %s", rows)
-	time.Sleep(time.Until(begin.Add(length)))
-	answers := clients.stop()
-	for _, server := range servers {
-		record.Add("%s ran %d requests", server.ID, len(server.Runs()))
-	}
-	return judge(record, answers, begin), fleet.CheckAlive()
+	return judge(record, crowd, answers), nil
 }
 
-// start starts four daemons, the last two of them beside servers of the service.
-func start(fleet *harness2.Fleet) ([]*harness2.Server, error) {
-	for index := range 4 {
-		daemon, err := fleet.AddDaemon(fmt.Sprintf("sidecar-%d", index), "zone-a", fmt.Sprintf("s%d", index/2), 284)
+// start starts the daemons, four of them beside servers and four through which the
+// clients send.
+func start(fleet *harness2.Fleet, crowd *crowd) error {
+	for index := range servers + entries {
+		service := "s1"
+		if index >= servers {
+			service = "s0"
+		}
+		daemon, err := fleet.AddDaemon(fmt.Sprintf("sidecar-%d", index), "zone-a", service, 284)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		if err := daemon.Start(); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	if err := fleet.WaitReady(10 * time.Second); err != nil {
-		return nil, err
+		return err
 	}
-	var servers []*harness2.Server
-	for index, daemon := range fleet.Daemons[2:] {
-		server := &harness2.Server{ID: fmt.Sprintf("i-%d", index), Service: "s1", Slots: 108, Work: 20 * time.Millisecond}
-		if err := harness2.StartServer(daemon, server); err != nil {
-			return servers, err
+	for index := range servers {
+		if err := crowd.add(index, 0, ""); err != nil {
+			return err
 		}
-		servers = append(servers, server)
 	}
-	// The homes of the tenants' allowance have been found after some seconds.
-	time.Sleep(10 * time.Second)
-	return servers, nil
+	time.Sleep(3 * time.Second)
+	return nil
 }
 
-// tally counts the requests of one tenant.
-type tally struct {
-	sent, served int
-	statuses     map[int]int
+// restart stops a daemon as planned, starts it again and waits until it is in touch.
+func restart(record *harness2.Record, entry *harness2.Daemon) error {
+	record.Add("SIGTERM for %s", entry.Name)
+	entry.Signal(syscall.SIGTERM)
+	<-entry.Exited()
+	if err := entry.Start(); err != nil {
+		return err
+	}
+	time.Sleep(stableWindow + 500*time.Millisecond)
+	return nil
 }
 
-func (tally *tally) add(answer harness2.Answer) {
-	tally.sent++
-	tally.statuses[answer.Status]++
-	if answer.Status == http.StatusOK {
-		tally.served++
+// sendPoison sends the request that crashes servers some times.
+func sendPoison(record *harness2.Record, entry *harness2.Daemon, sent *int) {
+	client := &http.Client{}
+	for range poisonPerEntry {
+		*sent++
+		answer := harness2.SendBody(client, entry, http.MethodPost, poison, fmt.Sprintf("poison-%d", *sent), "", "the same body")
+		record.Add("%s sent to %s: status %d", answer.ID, entry.Name, answer.Status)
+		time.Sleep(poisonGap)
 	}
 }
 
-func (tally *tally) share() float64 { return float64(tally.served) / float64(max(tally.sent, 1)) }
-
-// judge reports whether a tenant was served less than a quarter as often as all.
-func judge(record *harness2.Record, answers map[string][]harness2.Answer, begin time.Time) bool {
-	all := &tally{statuses: map[int]int{}}
-	tenants := map[string]*tally{}
-	for tenant, list := range answers {
-		tenants[tenant] = &tally{statuses: map[int]int{}}
-		after := &tally{statuses: map[int]int{}}
-		for index, answer := range list {
-			if index < samples {
-				record.Add("%s: %s sent at %.3f s: status %d", tenant, answer.ID, answer.Sent.Sub(begin).Seconds(), answer.Status)
-			}
-			if answer.Sent.Sub(begin) > changeAt+2*time.Second {
-				after.add(answer)
+// crowd is the servers, with what they ran. A server crashes when it runs the poison, and
+// another incarnation follows at its address.
+type crowd struct {
+	fleet   *harness2.Fleet
+	mutex   sync.Mutex
+	running []*harness2.Server
+	crashes []harness2.Run
+	ran     map[string]bool
+	ended   bool
+}
+
+func (crowd *crowd) add(index, incarnation int, address string) error {
+	server := &harness2.Server{ID: fmt.Sprintf("i-%d-%d", index, incarnation), Service: "s1", Slots: 108, Work: work, Address: address}
+	server.OnRun = func(run harness2.Run) {
+		crowd.note(run)
+		if run.Path != poison {
+			return
+		}
+		server.Exit()
+		time.AfterFunc(backAfter, func() {
+			if err := crowd.add(index, incarnation+1, server.Address); err != nil {
+				crowd.fleet.Record.Add("a server did not start again: %v", err)
 			}
-			tenants[tenant].add(answer)
-			all.add(answer)
+		})
+	}
+	crowd.mutex.Lock()
+	defer crowd.mutex.Unlock()
+	if crowd.ended {
+		return nil
+	}
+	crowd.running = append(crowd.running, server)
+	return harness2.StartServer(crowd.fleet.Daemons[index], server)
+}
+
+// note records a request that began to run.
+func (crowd *crowd) note(run harness2.Run) {
+	crowd.mutex.Lock()
+	defer crowd.mutex.Unlock()
+	if crowd.ran == nil {
+		crowd.ran = map[string]bool{}
+	}
+	crowd.ran[run.ID] = true
+	if run.Path == poison {
+		crowd.crashes = append(crowd.crashes, run)
+	}
+}
+
+func (crowd *crowd) exit() {
+	crowd.mutex.Lock()
+	defer crowd.mutex.Unlock()
+	crowd.ended = true
+	for _, server := range crowd.running {
+		server.Exit()
+	}
+}
+
+// judge reports whether the poison reached servers in more than three retries later than
+// stableWindow after it had crashed the third server.
+func judge(record *harness2.Record, crowd *crowd, answers []harness2.Answer) bool {
+	crowd.mutex.Lock()
+	defer crowd.mutex.Unlock()
+	late := 0
+	for index, run := range crowd.crashes {
+		text := ""
+		if index >= 3 && run.At.Sub(crowd.crashes[2].At) > stableWindow {
+			late++
+			text = ", later than stableWindow after the third"
 		}
-		record.Add("%s, sent later than configApply after the change: statuses %v", tenant, after.statuses)
+		record.Add("crash %d: %s, %v after the first%s", index+1, run.ID, run.At.Sub(crowd.crashes[0].At).Round(time.Millisecond), text)
 	}
-	broken := false
-	for tenant, tally := range tenants {
-		record.Add("%s: %d sent, %d served (%.3f), all %.3f, statuses %v", tenant, tally.sent, tally.served, tally.share(), all.share(), tally.statuses)
-		broken = broken || tally.share() < starvedShare*all.share()
+	statuses, lost := map[int]int{}, 0
+	for _, answer := range answers {
+		statuses[answer.Status]++
+		if answer.Status != http.StatusOK && crowd.ran[answer.ID] {
+			lost++
+		}
 	}
-	return broken
+	record.Add("%d orders of other clients, statuses %v; %d ran and failed", len(answers), statuses, lost)
+	record.Add("%d retries later than stableWindow after the third crash, allowed are %d", late, retriesMax)
+	return late > retriesMax
 }
 
-// clients send the requests of the tenants.
-type clients struct {
-	mutex   sync.Mutex
-	answers map[string][]harness2.Answer
+// orders are the requests of other clients.
+type orders struct {
 	ended   chan struct{}
 	sending sync.WaitGroup
+	mutex   sync.Mutex
+	answers []harness2.Answer
 }
 
-func startClients(daemons []*harness2.Daemon) *clients {
-	clients := &clients{answers: map[string][]harness2.Answer{}, ended: make(chan struct{})}
+func startOrders(daemons []*harness2.Daemon) *orders {
+	orders := &orders{ended: make(chan struct{})}
 	for index, daemon := range daemons {
-		for tenant := range keys {
-			clients.sending.Go(func() { clients.run(index, daemon, tenant) })
-		}
+		orders.sending.Go(func() { orders.run(index, daemon) })
 	}
-	return clients
+	return orders
 }
 
-func (clients *clients) run(index int, daemon *harness2.Daemon, tenant string) {
+func (orders *orders) run(index int, daemon *harness2.Daemon) {
 	connections := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
-	ticker := time.NewTicker(interval)
+	ticker := time.NewTicker(orderGap)
 	defer ticker.Stop()
 	for count := 0; ; count++ {
 		select {
-		case <-clients.ended:
+		case <-orders.ended:
 			return
 		case <-ticker.C:
 		}
-		clients.sending.Go(func() {
-			id := fmt.Sprintf("%s-%d-%d", tenant, index, count)
-			answer := harness2.SendKey(connections, daemon, http.MethodPost, "/keyed/"+id, id, keys[tenant])
-			clients.mutex.Lock()
-			defer clients.mutex.Unlock()
-			clients.answers[tenant] = append(clients.answers[tenant], answer)
+		orders.sending.Go(func() {
+			id := fmt.Sprintf("o-%d-%d", index, count)
+			answer := harness2.Send(connections, daemon, http.MethodPost, "/order/"+id, id)
+			orders.mutex.Lock()
+			defer orders.mutex.Unlock()
+			orders.answers = append(orders.answers, answer)
 		})
 	}
 }
 
-func (clients *clients) stop() map[string][]harness2.Answer {
-	close(clients.ended)
-	clients.sending.Wait()
-	clients.mutex.Lock()
-	defer clients.mutex.Unlock()
-	return clients.answers
+func (orders *orders) stop() []harness2.Answer {
+	close(orders.ended)
+	orders.sending.Wait()
+	return orders.answers
 }
--- a/review/harness2/client.go
+++ b/review/harness2/client.go
@@ -27,14 +27,19 @@
 
 // SendKey is like Send with the key of a tenant.
 func SendKey(client *http.Client, daemon *Daemon, method, path, id, key string) Answer {
+	body := ""
+	if method != http.MethodGet {
+		body = "body of " + id
+	}
+	return SendBody(client, daemon, method, path, id, key, body)
+}
+
+// SendBody is like SendKey with a body.
+func SendBody(client *http.Client, daemon *Daemon, method, path, id, key, body string) Answer {
 	answer := Answer{ID: id, Sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), Deadline)
 	defer cancel()
-	var body io.Reader
-	if method != http.MethodGet {
-		body = strings.NewReader("body of " + id)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+daemon.Callers+path, body)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+daemon.Callers+path, strings.NewReader(body))
 	if err != nil {
 		return answer
 	}
--- a/review/harness2/server.go
+++ b/review/harness2/server.go
@@ -29,6 +29,8 @@
 	// Work is how long a request takes. Body returns the body of the answer.
 	Work time.Duration
 	Body func(path string) string
+	// OnRun is called when a request begins to run; it may be nil.
+	OnRun func(run Run)
 
 	record   *Record
 	daemon   *Daemon
@@ -134,9 +136,13 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	run := Run{ID: id, Method: request.Method, Path: request.RequestURI, At: time.Now()}
 	server.mutex.Lock()
-	server.runs = append(server.runs, Run{ID: id, Method: request.Method, Path: request.RequestURI, At: time.Now()})
+	server.runs = append(server.runs, run)
 	server.mutex.Unlock()
+	if server.OnRun != nil {
+		server.OnRun(run)
+	}
 	_, _ = io.Copy(io.Discard, request.Body)
 	time.Sleep(server.Work)
 	writer.Header().Set(Words["stamp"], server.ID)
