http1: evict the caller that lags most, and account for connections

What callers saw: while 80 callers dribbled a byte now and then into heads, bodies, chunk extensions or trailers of a daemon that accepts 64 connections, an ordinary request met a closed connection; so it did while callers reconnected in a row.

Cause: a connection gave way to a new one only if it was idle or had made no progress for a second. Any byte counted as progress, so none of these gave way and new connections were turned away. What heads and buffers hold was in no budget.

Change: core/memory measures how far a caller lags behind 16 KiB a second of decoded bytes, while the daemon waits for it. Bytes sent earlier do not make up for a later pause, nor a byte now and then for the time between. The holder with the largest product of lag and of what is short (connections, memory for bodies, memory for connections) goes; this replaces both former rules. A new connection waits up to 100 ms for room, in the order of arrival. Heads that are being received and connections are charged to the budget (connection-memory-mb). A connection whose next request the kernel has received is not idle.

--- a/core/memory/body.go
+++ b/core/memory/body.go
@@ -45,6 +45,19 @@
 	return body.length
 }
 
+// Held returns the memory of the body in bytes.
+func (body *Body) Held() int64 {
+	if body == nil {
+		return 0
+	}
+	body.mutex.Lock()
+	defer body.mutex.Unlock()
+	if body.released {
+		return 0
+	}
+	return body.held + body.charged
+}
+
 // Space returns the unused rest of the last piece, which may be empty.
 func (body *Body) Space() []byte {
 	if len(body.pieces) == 0 {
@@ -67,6 +80,8 @@
 	if !body.budget.growRequest(0, bytes) {
 		return false
 	}
+	body.mutex.Lock()
+	defer body.mutex.Unlock()
 	body.charged = bytes
 	return true
 }
@@ -80,6 +95,8 @@
 	if !body.budget.growRequest(body.held, int64(size)) {
 		return false
 	}
+	body.mutex.Lock()
+	defer body.mutex.Unlock()
 	body.pieces = append(body.pieces, newPiece(size))
 	body.held += int64(size)
 	return true
--- a/core/memory/budget.go
+++ b/core/memory/budget.go
@@ -1,6 +1,7 @@
-// Package memory bounds the memory that a daemon holds for the bodies of others. The
-// budget is designed for some thousand bodies of any length up to the budget at once,
-// most of which may come from hostile callers.
+// Package memory bounds the memory that a daemon holds for others, and decides which of
+// them is given up when there is too little. The budget is designed for some thousand
+// connections and bodies of any length up to the budget at once, most of which may come
+// from hostile callers.
 package memory
 
 import "sync"
@@ -17,15 +18,23 @@
 	Requests int64
 	// Reserve is the part of Requests that only small bodies may use.
 	Reserve int64
+	// Overhead is the memory for connections and calls besides bodies; zero means that
+	// it is not bounded.
+	Overhead int64
+	// Holders are those that may be evicted when there is too little memory, Queue those
+	// who wait for that.
+	Holders Holders
+	Queue   Queue
 
-	mutex sync.Mutex
-	usage Usage
+	mutex    sync.Mutex
+	usage    Usage
+	overhead int64
 }
 
-// Usage is how much of a budget is in use, in bytes.
+// Usage is how much of a budget is in use for bodies, in bytes.
 type Usage struct {
-	// Total includes Requests, which includes Large, the use by bodies that are not
-	// small.
+	// Total includes the windows of calls and Requests, which includes Large, the use by
+	// bodies that are not small.
 	Total, Requests, Large int64
 }
 
@@ -58,6 +67,12 @@
 	return true
 }
 
+// Attainable reports whether the body of a response that has held bytes could have more if
+// nothing else were held.
+func (budget *Budget) Attainable(held, more int64) bool {
+	return held+more <= budget.Bytes-budget.Reserve-held-more
+}
+
 // Release returns the bytes of the body of a response.
 func (budget *Budget) Release(held int64) {
 	budget.mutex.Lock()
--- /dev/null
+++ b/core/memory/charge.go
@@ -0,0 +1,165 @@
+package memory
+
+import "sync"
+
+// ConnectionBytes is the memory of a connection for its buffers and stacks.
+const ConnectionBytes = 24 << 10
+
+// WindowBytes is the most that is held of a body while it is passed on over a link.
+const WindowBytes = 64 << 10
+
+// Charges are the charges of the requests of one connection. The zero value is ready to use.
+type Charges struct {
+	mutex   sync.Mutex
+	charges map[*Charge]struct{}
+}
+
+// Add adds a charge.
+func (charges *Charges) Add(charge *Charge) {
+	charges.mutex.Lock()
+	defer charges.mutex.Unlock()
+	if charges.charges == nil {
+		charges.charges = map[*Charge]struct{}{}
+	}
+	charges.charges[charge] = struct{}{}
+}
+
+// Release releases a charge and removes it.
+func (charges *Charges) Release(charge *Charge) {
+	charge.Release()
+	charges.mutex.Lock()
+	defer charges.mutex.Unlock()
+	delete(charges.charges, charge)
+}
+
+// Held returns how many bytes of what is short the charges hold.
+func (charges *Charges) Held(shortage Shortage) int64 {
+	charges.mutex.Lock()
+	defer charges.mutex.Unlock()
+	held := int64(0)
+	for charge := range charges.charges {
+		held += charge.Held(shortage)
+	}
+	return held
+}
+
+// Charge is memory that a connection or a call holds besides a Body. A nil Charge holds
+// nothing.
+type Charge struct {
+	budget           *Budget
+	overhead, window int64
+}
+
+// Charge takes memory for a call: overhead for its buffers and stacks, and a window for
+// the parts of bodies that are on their way. It returns what the budget lacks, if anything.
+func (budget *Budget) Charge(overhead, window int64) (*Charge, Shortage) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	if budget.Overhead > 0 && budget.overhead+overhead > budget.Overhead {
+		return nil, ShortOfOverhead
+	}
+	if window > 0 && budget.usage.Total+window > budget.Bytes-budget.Reserve {
+		return nil, ShortOfBodies
+	}
+	return budget.chargeLocked(overhead, window), NoShortage
+}
+
+// ChargeConnection takes the overhead of a connection. Connections have a bound of their
+// own, so it always succeeds.
+func (budget *Budget) ChargeConnection(overhead int64) *Charge {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	return budget.chargeLocked(overhead, 0)
+}
+
+func (budget *Budget) chargeLocked(overhead, window int64) *Charge {
+	budget.overhead += overhead
+	budget.usage.Total += window
+	return &Charge{budget: budget, overhead: overhead, window: window}
+}
+
+// OverheadUsage returns the memory for connections and calls in use, in bytes.
+func (budget *Budget) OverheadUsage() int64 {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	return budget.overhead
+}
+
+// Held returns how many bytes of what is short the charge holds.
+func (charge *Charge) Held(shortage Shortage) int64 {
+	if charge == nil {
+		return 0
+	}
+	charge.budget.mutex.Lock()
+	defer charge.budget.mutex.Unlock()
+	if shortage == ShortOfOverhead {
+		return charge.overhead
+	}
+	return charge.window
+}
+
+// overheadReserveDivisor gives the part of the overhead that is reserved for calls, so that
+// requests that have come are not refused for those that still come.
+const overheadReserveDivisor = 8
+
+// GrowOverhead takes more overhead for a request that is being received, and returns what
+// the budget lacks, if anything.
+func (charge *Charge) GrowOverhead(bytes int64) Shortage {
+	budget := charge.budget
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	if budget.Overhead > 0 && budget.overhead+bytes > budget.Overhead-budget.Overhead/overheadReserveDivisor {
+		return ShortOfOverhead
+	}
+	budget.overhead += bytes
+	charge.overhead += bytes
+	return NoShortage
+}
+
+// ShrinkOverhead returns what exceeds a number of bytes of the overhead.
+func (charge *Charge) ShrinkOverhead(bytes int64) {
+	charge.budget.mutex.Lock()
+	defer charge.budget.mutex.Unlock()
+	if bytes < charge.overhead {
+		charge.budget.overhead -= charge.overhead - bytes
+		charge.overhead = bytes
+	}
+}
+
+// GrowWindow takes more memory for a body, and returns what the budget lacks, if anything.
+func (charge *Charge) GrowWindow(bytes int64) Shortage {
+	budget := charge.budget
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	if budget.usage.Total+bytes > budget.Bytes-budget.Reserve {
+		return ShortOfBodies
+	}
+	budget.usage.Total += bytes
+	charge.window += bytes
+	return NoShortage
+}
+
+// ShrinkWindow returns what exceeds a number of bytes of the window.
+func (charge *Charge) ShrinkWindow(bytes int64) {
+	if charge == nil {
+		return
+	}
+	charge.budget.mutex.Lock()
+	defer charge.budget.mutex.Unlock()
+	if bytes < charge.window {
+		charge.budget.usage.Total -= charge.window - bytes
+		charge.window = bytes
+	}
+}
+
+// Release returns all that the charge holds. It may be called more than once.
+func (charge *Charge) Release() {
+	if charge == nil {
+		return
+	}
+	charge.ShrinkWindow(0)
+	charge.budget.mutex.Lock()
+	defer charge.budget.mutex.Unlock()
+	charge.budget.overhead -= charge.overhead
+	charge.overhead = 0
+}
--- /dev/null
+++ b/core/memory/holder.go
@@ -0,0 +1,111 @@
+package memory
+
+import (
+	"iter"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// MinLag is the least lag for which a peer is given up. Peers that keep up with MinRate
+// pause for less.
+const MinLag = 400 * time.Millisecond
+
+// Shortage is what there is too little of.
+type Shortage int
+
+// Shortages.
+const (
+	NoShortage Shortage = iota
+	// ShortOfConnections means that the process may not open more connections.
+	ShortOfConnections
+	// ShortOfBodies means that the memory for bodies and windows is exhausted.
+	ShortOfBodies
+	// ShortOfOverhead means that the memory for connections and calls is exhausted.
+	ShortOfOverhead
+)
+
+// Holder holds a connection, memory of a budget, or both, for a peer that may be slow.
+type Holder interface {
+	// Lag returns how far the peer lags, zero if the holder cannot be evicted now.
+	Lag(now time.Time) time.Duration
+	// Held returns how much an eviction returns of what is short: bytes, or the number
+	// of connections.
+	Held(shortage Shortage) int64
+	// Evict gives up what is in progress with the peer. It returns a channel that is
+	// closed when everything has been returned, and false if the holder has gone on
+	// meanwhile.
+	Evict(shortage Shortage) (<-chan struct{}, bool)
+}
+
+// Slowest returns the holder to evict, the one with the largest product of lag and what it
+// holds, since it has cost others the most. Those in passed are not considered. It returns
+// nil if no peer lags.
+func Slowest(holders iter.Seq[Holder], shortage Shortage, passed map[Holder]bool, now time.Time) Holder {
+	var slowest Holder
+	most := 0.0
+	for holder := range holders {
+		lag := holder.Lag(now)
+		if lag <= 0 || passed[holder] {
+			continue
+		}
+		if cost := lag.Seconds() * float64(holder.Held(shortage)); cost > most {
+			slowest, most = holder, cost
+		}
+	}
+	return slowest
+}
+
+// Holders are the holders of a budget. The zero value is ready to use.
+type Holders struct {
+	mutex   sync.Mutex
+	holders map[Holder]struct{}
+}
+
+// Add adds a holder.
+func (holders *Holders) Add(holder Holder) {
+	holders.mutex.Lock()
+	defer holders.mutex.Unlock()
+	if holders.holders == nil {
+		holders.holders = map[Holder]struct{}{}
+	}
+	holders.holders[holder] = struct{}{}
+}
+
+// Remove removes a holder.
+func (holders *Holders) Remove(holder Holder) {
+	holders.mutex.Lock()
+	defer holders.mutex.Unlock()
+	delete(holders.holders, holder)
+}
+
+// All returns the present holders.
+func (holders *Holders) All() iter.Seq[Holder] {
+	holders.mutex.Lock()
+	defer holders.mutex.Unlock()
+	return slices.Values(slices.Collect(maps.Keys(holders.holders)))
+}
+
+// Queue orders those who wait for memory, so that none overtakes another. The zero value is
+// ready to use.
+type Queue struct {
+	turn    sync.Mutex
+	waiting atomic.Int64
+}
+
+// Empty reports whether nobody waits.
+func (queue *Queue) Empty() bool { return queue.waiting.Load() == 0 }
+
+// Enter waits for the turn of the caller, who calls Leave afterwards.
+func (queue *Queue) Enter() {
+	queue.waiting.Add(1)
+	queue.turn.Lock()
+}
+
+// Leave ends the turn.
+func (queue *Queue) Leave() {
+	queue.waiting.Add(-1)
+	queue.turn.Unlock()
+}
--- a/core/settings/mesh.go
+++ b/core/settings/mesh.go
@@ -40,20 +40,13 @@
 	// allowed ratio of retries to requests, and a constant number added to it.
 	RepeatRatio float64 `json:"repeat-ratio"`
 	RepeatSlack float64 `json:"repeat-slack"`
-	// MemoryMB is the memory limit of the process in megabytes; zero means none.
-	MemoryMB int `json:"memory-mb,omitempty"`
+	Limits
 	// ShedByCost makes the daemon shed requests at the entry by what they cost at
 	// services that are short of capacity.
 	ShedByCost bool `json:"shed-by-cost,omitempty"`
 	// Placement is the policy by which the targets of calls are selected.
 	Placement Placement `json:"placement,omitempty"`
-	// BodyMemoryMB is the memory for bodies of requests and responses in megabytes;
-	// zero means the default.
-	BodyMemoryMB int `json:"body-memory-mb,omitempty"`
-	// CallerConnections is the maximum number of connections of callers; zero means
-	// the default.
-	CallerConnections int    `json:"caller-connections,omitempty"`
-	LogLevel          string `json:"log-level,omitempty"`
+	LogLevel  string    `json:"log-level,omitempty"`
 }
 
 // Placement names a policy of core/placement.
@@ -103,9 +96,6 @@
 	if mesh.RepeatSlack < 0 {
 		faults.Add("/repeat-slack", "%v is below 0", mesh.RepeatSlack)
 	}
-	if mesh.MemoryMB < 0 {
-		faults.Add("/memory-mb", "%d is below 0", mesh.MemoryMB)
-	}
 	mesh.checkLimits(&faults)
 	checkLogLevel(&faults, mesh.LogLevel)
 	if mesh.Placement != PlacementLowestCost && mesh.Placement != PlacementFreeRoom {
--- a/core/settings/mesh_test.go
+++ b/core/settings/mesh_test.go
@@ -66,12 +66,12 @@
 		connections     int
 	}{
 		"no memory limit":       {settings.Mesh{}, 64 << 20, 64 << 20, 100_000, 4096},
-		"memory limit":          {settings.Mesh{MemoryMB: 184}, 161 << 19, 69 << 20, 4100, 736},
-		"few descriptors":       {settings.Mesh{MemoryMB: 536}, 469 << 19, 201 << 20, 4100, 2050},
-		"body memory":           {settings.Mesh{MemoryMB: 160, BodyMemoryMB: 80}, 80 << 20, 60 << 20, 4100, 640},
-		"small body memory":     {settings.Mesh{MemoryMB: 160, BodyMemoryMB: 20}, 20 << 20, 20 << 20, 4100, 640},
-		"connections":           {settings.Mesh{CallerConnections: 50}, 64 << 20, 64 << 20, 4100, 50},
-		"too many connections":  {settings.Mesh{CallerConnections: 3000}, 64 << 20, 64 << 20, 4100, 2050},
+		"memory limit":          {settings.Mesh{Limits: settings.Limits{MemoryMB: 184}}, 161 << 19, 69 << 20, 4100, 736},
+		"few descriptors":       {settings.Mesh{Limits: settings.Limits{MemoryMB: 536}}, 469 << 19, 201 << 20, 4100, 2050},
+		"body memory":           {settings.Mesh{Limits: settings.Limits{MemoryMB: 160, BodyMemoryMB: 80}}, 80 << 20, 60 << 20, 4100, 640},
+		"small body memory":     {settings.Mesh{Limits: settings.Limits{MemoryMB: 160, BodyMemoryMB: 20}}, 20 << 20, 20 << 20, 4100, 640},
+		"connections":           {settings.Mesh{Limits: settings.Limits{CallerConnections: 50}}, 64 << 20, 64 << 20, 4100, 50},
+		"too many connections":  {settings.Mesh{Limits: settings.Limits{CallerConnections: 3000}}, 64 << 20, 64 << 20, 4100, 2050},
 		"hardly any descriptor": {settings.Mesh{}, 64 << 20, 64 << 20, 1, 1},
 	}
 	for name, test := range cases {
--- a/core/strictjson/check.go
+++ b/core/strictjson/check.go
@@ -3,6 +3,7 @@
 import (
 	"encoding"
 	"encoding/json"
+	"maps"
 	"reflect"
 	"sort"
 	"strings"
@@ -60,6 +61,10 @@
 	fields := make(map[string]reflect.Type, want.NumField())
 	for index := range want.NumField() {
 		field := want.Field(index)
+		if field.Anonymous {
+			maps.Copy(fields, fieldsByName(field.Type))
+			continue
+		}
 		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
 		fields[name] = field.Type
 	}
--- a/io/http1/body.go
+++ b/io/http1/body.go
@@ -4,74 +4,26 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"balsamproxy"
 	"balsamproxy/core/memory"
+	"balsamproxy/io/eviction"
 )
 
-const (
-	// stalledAfter is how long a request that is being received must have made no
-	// progress to be given up in favour of others.
-	stalledAfter = time.Second
-	// releaseTimeout bounds the wait for the memory of an abandoned body. Its
-	// connection is woken at once.
-	releaseTimeout = 500 * time.Millisecond
-	// headFactor is the memory of a parsed header in multiples of its length.
-	headFactor = 2
-)
+// headFactor is the memory of a parsed header in multiples of its length.
+const headFactor = 2
 
 // reception is a body that is being received.
 type reception struct {
-	connection *connection
-	abandoned  bool
+	body *memory.Body
+	// abandoned is set when the body is given up in favour of others.
+	abandoned atomic.Bool
 	// released is closed when the body is complete or has been released.
 	released chan struct{}
 }
 
-// receptions are the bodies that are being received. The zero value is ready to use.
-type receptions struct {
-	mutex  sync.Mutex
-	bodies map[*reception]struct{}
-}
-
-func (receptions *receptions) add(added *reception) {
-	receptions.mutex.Lock()
-	defer receptions.mutex.Unlock()
-	if receptions.bodies == nil {
-		receptions.bodies = map[*reception]struct{}{}
-	}
-	receptions.bodies[added] = struct{}{}
-}
-
-// remove ends a reception and reports whether it was abandoned.
-func (receptions *receptions) remove(removed *reception) bool {
-	receptions.mutex.Lock()
-	defer receptions.mutex.Unlock()
-	delete(receptions.bodies, removed)
-	return removed.abandoned
-}
-
-// abandonStalled abandons the body that has made no progress for the longest time. It
-// returns nil if none is stalled.
-func (receptions *receptions) abandonStalled(now time.Time) *reception {
-	receptions.mutex.Lock()
-	defer receptions.mutex.Unlock()
-	var stalled *reception
-	oldest := now.Add(-stalledAfter).UnixNano()
-	for candidate := range receptions.bodies {
-		if progressAt := candidate.connection.limited.progressAt.Load(); !candidate.abandoned && progressAt <= oldest {
-			stalled, oldest = candidate, progressAt
-		}
-	}
-	if stalled != nil {
-		stalled.abandoned = true
-		_ = stalled.connection.conn.SetReadDeadline(time.Unix(1, 0))
-	}
-	return stalled
-}
-
 // receiveBody reads the body into memory. If it refuses the request, it releases the
 // body.
 func (connection *connection) receiveBody(body *memory.Body, head *http.Request, limits Limits) *balsamproxy.Refusal {
@@ -79,20 +31,22 @@
 		return nil
 	}
 	server := connection.server
-	if head.ContentLength > 0 && !server.reclaim(func() bool { return server.budget().Fits(head.ContentLength) }) {
-		return server.refuseBody()
+	if head.ContentLength > 0 && !server.reclaimBodies(func() bool { return server.budget().Fits(head.ContentLength) }) {
+		return connection.refuseBody()
 	}
 	if head.Header.Get("Expect") != "" {
 		connection.sendContinue()
 	}
 	_ = connection.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	connection.limited.noteProgress()
-	reception := &reception{connection: connection, released: make(chan struct{})}
-	server.receptions.add(reception)
+	connection.reading.Reset(time.Now())
+	reception := &reception{body: body, released: make(chan struct{})}
+	connection.reception.Store(reception)
 	refusal := connection.fillBody(body, head.Body, limits)
-	if server.receptions.remove(reception) && refusal != nil {
+	connection.reception.Store(nil)
+	if reception.abandoned.Load() && refusal != nil {
 		server.counts.abandonedBodies.Add(1)
-		refusal = balsamproxy.NotRun(balsamproxy.ReasonBodyStalled, "the body made no progress while memory was short")
+		server.reportEviction(EvictedReceiving, connection.conn)
+		refusal = balsamproxy.NotRun(balsamproxy.ReasonBodyStalled, "the body came too slowly while memory was short")
 	}
 	if refusal != nil {
 		body.Release()
@@ -117,12 +71,13 @@
 			return balsamproxy.NotRun(balsamproxy.ReasonTooLarge, "the body is longer than allowed")
 		}
 		if full && count > 0 {
-			if !server.reclaim(body.Grow) {
-				return server.refuseBody()
+			if !server.reclaimBodies(body.Grow) {
+				return connection.refuseBody()
 			}
 			copy(body.Space(), ahead[:])
 		}
 		body.Extend(count)
+		connection.reading.Credit(count)
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
@@ -132,25 +87,26 @@
 	}
 }
 
-// reclaim abandons stalled bodies until enough memory is free. It returns false if
-// there is no stalled body left.
-func (server *Server) reclaim(enough func() bool) bool {
-	for !enough() {
-		abandoned := server.receptions.abandonStalled(time.Now())
-		if abandoned == nil {
-			return false
-		}
-		select {
-		case <-abandoned.released:
-		case <-time.After(releaseTimeout):
+// reclaim evicts connections that lag until there is enough. It returns false if none lags
+// any more.
+func (server *Server) reclaim(enough func() memory.Shortage) bool {
+	return eviction.Reclaim(server.budget(), enough)
+}
+
+// reclaimBodies is like reclaim for the memory of bodies.
+func (server *Server) reclaimBodies(enough func() bool) bool {
+	return server.reclaim(func() memory.Shortage {
+		if enough() {
+			return memory.NoShortage
 		}
-	}
-	return true
+		return memory.ShortOfBodies
+	})
 }
 
-// refuseBody returns the refusal of a body for which there is no memory.
-func (server *Server) refuseBody() *balsamproxy.Refusal {
-	server.counts.refusedBodies.Add(1)
+// refuseBody returns the refusal of a request for which there is no memory.
+func (connection *connection) refuseBody() *balsamproxy.Refusal {
+	connection.server.counts.refusedBodies.Add(1)
+	connection.server.reportEviction(EvictedBody, connection.conn)
 	return balsamproxy.NotRun(balsamproxy.ReasonOverloaded, "the memory for bodies is in use")
 }
 
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"balsamproxy/core/memory"
 	"balsamproxy/task"
 )
 
@@ -37,6 +38,17 @@
 	closeIdleAt time.Time
 	// idleSince is when the last request in flight ended or the connection began.
 	idleSince time.Time
+
+	// reading and writing are how far the caller lags with the request that is being
+	// received and with reading responses.
+	reading, writing memory.Lag
+	// overhead is the memory of the connection itself.
+	overhead *memory.Charge
+	// reception is the body that is being received, nil if there is none.
+	reception atomic.Pointer[reception]
+	// closed is set when the connection is given up, ended is closed when it has ended.
+	closed atomic.Bool
+	ended  chan struct{}
 }
 
 // pending is one request whose response has not been written yet.
@@ -51,17 +63,34 @@
 }
 
 func newConnection(server *Server, conn net.Conn) *connection {
-	limited := &limitedReader{reader: conn}
-	return &connection{
+	connection := &connection{
 		server:  server,
 		conn:    conn,
-		limited: limited,
-		reader:  bufio.NewReaderSize(limited, bufferBytes),
-		writer:  bufio.NewWriterSize(conn, bufferBytes),
 		pending: make(chan *pending, pipelineMax),
 
 		idleSince: time.Now(),
+		ended:     make(chan struct{}),
+	}
+	connection.limited = &limitedReader{
+		reader: conn, lag: &connection.reading, charge: connection.chargeHead,
 	}
+	connection.reader = bufio.NewReaderSize(connection.limited, bufferBytes)
+	connection.writer = bufio.NewWriterSize(&lagWriter{writer: conn, lag: &connection.writing}, bufferBytes)
+	return connection
+}
+
+// lagWriter measures how far the reader of what it writes lags.
+type lagWriter struct {
+	writer io.Writer
+	lag    *memory.Lag
+}
+
+// Write implements io.Writer.
+func (writer *lagWriter) Write(data []byte) (int, error) {
+	writer.lag.Begin(time.Now())
+	count, err := writer.writer.Write(data)
+	writer.lag.End(time.Now(), count)
+	return count, err
 }
 
 // errClosing means that the daemon closes the connection.
@@ -97,7 +126,7 @@
 			return errClosing
 		}
 		connection.server.inFlight.Add(1)
-		connection.limited.noteProgress()
+		connection.reading.Reset(time.Now())
 		connection.receiving.Store(receiving)
 		next := connection.receive()
 		if next.request != nil && previous != nil && !mayPipeline(next.request.Head) {
--- a/io/http1/limit.go
+++ b/io/http1/limit.go
@@ -1,20 +1,54 @@
 package http1
 
 import (
+	"iter"
+	"net"
 	"sync/atomic"
 	"time"
+
+	"balsamproxy/core/memory"
+	"balsamproxy/io/eviction"
+)
+
+const (
+	// acceptTimeout is how long a new connection waits for another one to lag or to
+	// become idle if there are too many. Those behind it wait in the kernel meanwhile.
+	acceptTimeout = 100 * time.Millisecond
+	// acceptPollInterval is how often that is looked at.
+	acceptPollInterval = 5 * time.Millisecond
+	// evictTries bounds how many connections are passed over at a time.
+	evictTries = 16
+)
+
+// Eviction is what was given up because there was too little room.
+type Eviction string
+
+// Evictions.
+const (
+	// EvictedIdle is a connection without a request in flight.
+	EvictedIdle Eviction = "idle"
+	// EvictedReceiving is a connection whose request came too slowly.
+	EvictedReceiving Eviction = "slow-request"
+	// EvictedAnswer is a connection whose caller reads too slowly.
+	EvictedAnswer Eviction = "slow-reader"
+	// EvictedNew is a new connection, as no other one could be spared.
+	EvictedNew Eviction = "no-room"
+	// EvictedBody is a request that was refused, as there was no memory for it.
+	EvictedBody Eviction = "no-memory"
 )
 
 // counts are the events that limits of memory and connections cause.
 type counts struct {
-	refusedBodies, abandonedBodies, closedConnections atomic.Int64
+	refusedBodies, abandonedBodies, abandonedAnswers, closedConnections atomic.Int64
 }
 
 // Counts are the numbers of such events since the start of a server.
 type Counts struct {
-	// RefusedBodies could not be held, AbandonedBodies made no progress while there was
+	// RefusedBodies could not be held, AbandonedBodies came too slowly while there was
 	// no memory for others.
 	RefusedBodies, AbandonedBodies int64
+	// AbandonedAnswers were read too slowly while there was no room for others.
+	AbandonedAnswers int64
 	// ClosedConnections were closed because there were too many.
 	ClosedConnections int64
 }
@@ -24,6 +58,7 @@
 	return Counts{
 		RefusedBodies:     server.counts.refusedBodies.Load(),
 		AbandonedBodies:   server.counts.abandonedBodies.Load(),
+		AbandonedAnswers:  server.counts.abandonedAnswers.Load(),
 		ClosedConnections: server.counts.closedConnections.Load(),
 	}
 }
@@ -35,49 +70,85 @@
 	return len(server.connections)
 }
 
-// makeRoomLocked closes a connection if there are too many for another one. It returns
-// false if none could be closed.
-func (server *Server) makeRoomLocked() bool {
+// reportEviction tells the owner of the server what was given up.
+func (server *Server) reportEviction(reason Eviction, conn net.Conn) {
+	if server.OnEvict != nil {
+		server.OnEvict(reason, conn.RemoteAddr())
+	}
+}
+
+// add adds a connection. It waits for room, and returns false if there is none.
+func (server *Server) add(connection *connection) bool {
+	for end := time.Now().Add(acceptTimeout); ; time.Sleep(acceptPollInterval) {
+		if server.tryAdd(connection) {
+			return true
+		}
+		if server.draining.Load() || time.Now().After(end) {
+			server.counts.closedConnections.Add(1)
+			server.reportEviction(EvictedNew, connection.conn)
+			return false
+		}
+	}
+}
+
+// tryAdd adds a connection, if need be instead of another one.
+func (server *Server) tryAdd(connection *connection) bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
 	limit := server.MaxConnections
 	if limit <= 0 {
 		limit = defaultMaxConnections
 	}
-	if len(server.connections) < limit {
-		return true
+	if len(server.connections) >= limit && !server.evictSlowestLocked() {
+		return false
+	}
+	if server.connections == nil {
+		server.connections = connectionSet{}
+	}
+	server.connections[connection] = struct{}{}
+	if !server.closeIdleAt.IsZero() {
+		connection.closeIdle(server.closeIdleAt)
 	}
-	server.counts.closedConnections.Add(1)
-	return server.evictLocked(limit, (*connection).idleFor, (*connection).evictIdle) ||
-		server.evictLocked(limit, (*connection).stalledFor, (*connection).evictStalled)
+	return true
 }
 
-// evictLocked closes the connection with the longest age, if it is above zero. One that
-// goes on meanwhile is passed over in favour of the next one.
-func (server *Server) evictLocked(tries int, age func(*connection, time.Time) time.Duration, evict func(*connection) bool) bool {
+// evictSlowestLocked closes the connection whose caller lags most. One that goes on
+// meanwhile is passed over in favour of the next one. It returns false if none lags.
+func (server *Server) evictSlowestLocked() bool {
 	now := time.Now()
-	passed := connectionSet{}
-	for range tries {
-		var oldest *connection
-		longest := time.Duration(0)
-		for candidate := range server.connections {
-			if _, skip := passed[candidate]; skip {
-				continue
-			}
-			if candidateAge := age(candidate, now); candidateAge > longest {
-				oldest, longest = candidate, candidateAge
-			}
-		}
-		if oldest == nil {
+	passed := map[memory.Holder]bool{}
+	for len(passed) < evictTries {
+		slowest, found := memory.Slowest(server.connections.holders(), memory.ShortOfConnections, passed, now).(*connection)
+		if !found {
 			return false
 		}
-		if evict(oldest) {
-			delete(server.connections, oldest)
+		if _, evicted := slowest.Evict(memory.ShortOfConnections); evicted {
+			server.counts.closedConnections.Add(1)
+			delete(server.connections, slowest)
 			return true
 		}
-		passed[oldest] = struct{}{}
+		passed[slowest] = true
 	}
 	return false
 }
 
+// holders returns the connections.
+func (connections connectionSet) holders() iter.Seq[memory.Holder] {
+	return func(yield func(memory.Holder) bool) {
+		for connection := range connections {
+			if !yield(connection) {
+				return
+			}
+		}
+	}
+}
+
+// chargeHead takes memory for a header that is being received, if need be from connections
+// that lag.
+func (connection *connection) chargeHead(bytes int64) bool {
+	return connection.server.reclaim(func() memory.Shortage { return connection.overhead.GrowOverhead(bytes) })
+}
+
 // receiving is the state of the request that a connection reads.
 const (
 	notReceiving int32 = iota
@@ -85,6 +156,21 @@
 	evicted
 )
 
+var _ memory.Holder = (*connection)(nil)
+
+// Lag implements memory.Holder. An idle connection lags from the end of its last request
+// on, one that is in use from memory.MinLag on.
+func (connection *connection) Lag(now time.Time) time.Duration {
+	if connection.closed.Load() {
+		return 0
+	}
+	lag := max(connection.receivingLag(now), connection.writing.At(now))
+	if lag >= memory.MinLag {
+		return lag
+	}
+	return connection.idleFor(now)
+}
+
 // idleFor returns how long no request has been in flight, zero if one is.
 func (connection *connection) idleFor(now time.Time) time.Duration {
 	connection.idleMutex.Lock()
@@ -95,38 +181,91 @@
 	return max(now.Sub(connection.idleSince), 1)
 }
 
+// receivingLag returns how far the request that is being received lags, zero if there is
+// none or if others are in flight, which may have reached a target.
+func (connection *connection) receivingLag(now time.Time) time.Duration {
+	if connection.receiving.Load() != receiving || connection.inFlight.Load() != 1 {
+		return 0
+	}
+	if reception := connection.reception.Load(); reception != nil && reception.abandoned.Load() {
+		return 0
+	}
+	return connection.reading.At(now)
+}
+
+// Held implements memory.Holder.
+func (connection *connection) Held(shortage memory.Shortage) int64 {
+	if shortage == memory.ShortOfConnections {
+		return 1
+	}
+	held := connection.overhead.Held(shortage)
+	if shortage != memory.ShortOfBodies {
+		return held
+	}
+	if reception := connection.reception.Load(); reception != nil {
+		held += reception.body.Held()
+	}
+	return held
+}
+
+// Evict implements memory.Holder.
+func (connection *connection) Evict(shortage memory.Shortage) (<-chan struct{}, bool) {
+	now := time.Now()
+	switch {
+	case connection.writing.At(now) >= memory.MinLag:
+		return connection.evictAnswer()
+	case connection.receivingLag(now) >= memory.MinLag:
+		return connection.evictReceiving(shortage)
+	default:
+		return connection.evictIdle()
+	}
+}
+
 // evictIdle closes the connection unless a request has begun.
-func (connection *connection) evictIdle() bool {
+func (connection *connection) evictIdle() (<-chan struct{}, bool) {
 	connection.idleMutex.Lock()
 	defer connection.idleMutex.Unlock()
-	if !connection.inFlight.CompareAndSwap(0, closedAfterLast) {
-		return false
+	if eviction.HasReceived(connection.conn) || !connection.inFlight.CompareAndSwap(0, closedAfterLast) {
+		return nil, false
 	}
-	_ = connection.conn.Close()
-	return true
+	return connection.close(EvictedIdle)
 }
 
-// stalledFor returns how long the request that is being received has made no progress,
-// zero if there is none, if it is not stalled or if others are in flight.
-func (connection *connection) stalledFor(now time.Time) time.Duration {
-	if connection.receiving.Load() != receiving || connection.inFlight.Load() != 1 {
-		return 0
+// evictReceiving gives up the request that is being received, unless it has been received
+// meanwhile, so that nothing of it has reached a target. If its body is to be given up, the
+// caller is told so.
+func (connection *connection) evictReceiving(shortage memory.Shortage) (<-chan struct{}, bool) {
+	if reception := connection.reception.Load(); reception != nil && shortage == memory.ShortOfBodies {
+		if reception.abandoned.Swap(true) {
+			return nil, false
+		}
+		_ = connection.conn.SetReadDeadline(time.Unix(1, 0))
+		return reception.released, true
 	}
-	stalled := now.Sub(time.Unix(0, connection.limited.progressAt.Load()))
-	if stalled < stalledAfter {
-		return 0
+	if !connection.receiving.CompareAndSwap(receiving, evicted) {
+		return nil, false
 	}
-	return stalled
+	return connection.close(EvictedReceiving)
 }
 
-// evictStalled closes the connection unless its request has been received, so that
-// nothing of it has reached a target.
-func (connection *connection) evictStalled() bool {
-	if !connection.receiving.CompareAndSwap(receiving, evicted) {
-		return false
+// evictAnswer resets the connection, so that the caller cannot take the part of the
+// response that it has read for the whole.
+func (connection *connection) evictAnswer() (<-chan struct{}, bool) {
+	if tcp, ok := connection.conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	connection.server.counts.abandonedAnswers.Add(1)
+	return connection.close(EvictedAnswer)
+}
+
+// close closes the connection. It returns false if it has been closed already.
+func (connection *connection) close(reason Eviction) (<-chan struct{}, bool) {
+	if connection.closed.Swap(true) {
+		return nil, false
 	}
 	_ = connection.conn.Close()
-	return true
+	connection.server.reportEviction(reason, connection.conn)
+	return connection.ended, true
 }
 
 // endReceiving reports whether the connection is still open after a request has been
--- a/io/http1/receive.go
+++ b/io/http1/receive.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"balsamproxy"
@@ -18,15 +17,24 @@
 	reader    io.Reader
 	remaining int
 	enabled   bool
-	// progressAt is when it last read anything, in Unix nanoseconds.
-	progressAt atomic.Int64
+	// lag is how far the caller lags. The bytes of a body are credited to it when they
+	// have been decoded, since many bytes may encode few.
+	lag *memory.Lag
+	// charge takes memory for a header, of which uncharged bytes can come before more is
+	// needed.
+	charge    func(bytes int64) bool
+	uncharged int
 }
 
-var errHeaderTooLong = errors.New("http1: header too long")
+var (
+	errHeaderTooLong  = errors.New("http1: header too long")
+	errNoHeaderMemory = errors.New("http1: no memory for the header")
+)
 
 func (limited *limitedReader) limit(bytes int) {
 	limited.remaining = bytes
 	limited.enabled = true
+	limited.uncharged = bufferBytes
 }
 
 func (limited *limitedReader) removeLimit() { limited.enabled = false }
@@ -41,19 +49,23 @@
 	}
 	count, err := limited.read(buffer[:min(len(buffer), limited.remaining)])
 	limited.remaining -= count
+	limited.uncharged -= count
+	if limited.uncharged < 0 {
+		limited.uncharged += bufferBytes
+		if !limited.charge(headFactor * bufferBytes) {
+			return count, errNoHeaderMemory
+		}
+	}
 	return count, err
 }
 
 func (limited *limitedReader) read(buffer []byte) (int, error) {
+	limited.lag.Begin(time.Now())
 	count, err := limited.reader.Read(buffer)
-	if count > 0 {
-		limited.noteProgress()
-	}
+	limited.lag.End(time.Now(), 0)
 	return count, err
 }
 
-func (limited *limitedReader) noteProgress() { limited.progressAt.Store(time.Now().UnixNano()) }
-
 // receive reads one request with its body. For a refused request it returns a
 // pending without request that already has its response.
 func (connection *connection) receive() *pending {
@@ -73,8 +85,7 @@
 	}
 	if refusal != nil {
 		body.Release()
-		next.closeAfter = true
-		next.response <- connection.server.Handler.HandleMalformed(refusal)
+		connection.refuse(next, refusal)
 		return next
 	}
 	next.closeAfter = head.Close
@@ -82,12 +93,22 @@
 	return next
 }
 
+// refuse answers a request that is not handled. The connection closes afterwards.
+func (connection *connection) refuse(next *pending, refusal *balsamproxy.Refusal) {
+	next.request = nil
+	next.closeAfter = true
+	next.response <- connection.server.Handler.HandleMalformed(refusal)
+}
+
 func (connection *connection) receiveHead(limits Limits) (*http.Request, *balsamproxy.Refusal) {
 	connection.limited.limit(limits.HeaderBytes - connection.reader.Buffered())
 	_ = connection.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	head, err := http.ReadRequest(connection.reader)
 	connection.limited.removeLimit()
+	connection.overhead.ShrinkOverhead(memory.ConnectionBytes)
 	switch {
+	case errors.Is(err, errNoHeaderMemory):
+		return nil, connection.refuseBody()
 	case errors.Is(err, errHeaderTooLong):
 		return nil, balsamproxy.NotRun(balsamproxy.ReasonHeaderTooLarge, "the header is longer than allowed")
 	case err != nil:
@@ -104,10 +125,10 @@
 // many requests in flight on one connection.
 func (connection *connection) holdHead(body *memory.Body, limits Limits) *balsamproxy.Refusal {
 	length := limits.HeaderBytes - connection.limited.remaining - connection.reader.Buffered()
-	if connection.server.reclaim(func() bool { return body.Charge(int64(headFactor * length)) }) {
+	if connection.server.reclaimBodies(func() bool { return body.Charge(int64(headFactor * length)) }) {
 		return nil
 	}
-	return connection.server.refuseBody()
+	return connection.refuseBody()
 }
 
 // validFieldNames reports whether all field names are tokens. Other programs
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -119,10 +119,14 @@
 // Server serves callers. Handler must be set.
 type Server struct {
 	Handler Handler
-	// Bodies bounds the memory for bodies of requests. If nil, it is 64 MiB.
+	// Bodies bounds the memory for bodies, connections and requests in flight. If nil, it
+	// is 64 MiB for bodies, and the rest is not bounded.
 	Bodies *memory.Budget
 	// MaxConnections bounds the open connections; zero means 4,096.
 	MaxConnections int
+	// OnEvict is called when something is given up because there is too little room. It
+	// must not block, and may be nil.
+	OnEvict func(eviction Eviction, caller net.Addr)
 
 	draining      atomic.Bool
 	mutex         sync.Mutex
@@ -130,7 +134,6 @@
 	closeIdleAt   time.Time
 	serving       task.Group
 	inFlight      atomic.Int64
-	receptions    receptions
 	counts        counts
 	defaultBodies sync.Once
 }
@@ -199,6 +202,8 @@
 		_ = accepted.Close()
 		return
 	}
+	connection.overhead = server.budget().ChargeConnection(memory.ConnectionBytes)
+	server.budget().Holders.Add(connection)
 	server.serving.Start(ctx, connection.serve, func(error) { server.remove(connection) })
 }
 
@@ -211,27 +216,13 @@
 	return errors.As(err, &operation) && !errors.Is(err, net.ErrClosed)
 }
 
-// add adds a connection. It returns false if there are too many.
-func (server *Server) add(connection *connection) bool {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	if !server.makeRoomLocked() {
-		return false
-	}
-	if server.connections == nil {
-		server.connections = connectionSet{}
-	}
-	server.connections[connection] = struct{}{}
-	if !server.closeIdleAt.IsZero() {
-		connection.closeIdle(server.closeIdleAt)
-	}
-	return true
-}
-
 func (server *Server) remove(connection *connection) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	delete(server.connections, connection)
+	server.budget().Holders.Remove(connection)
+	connection.overhead.Release()
+	close(connection.ended)
 }
 
 // Drain makes each connection close after the response to the last request that it has
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -6,7 +6,6 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +28,7 @@
 	"balsamproxy/io/entry"
 	"balsamproxy/io/events"
 	"balsamproxy/io/fleet"
+	"balsamproxy/io/goruntime"
 	"balsamproxy/io/http1"
 	"balsamproxy/io/lending"
 	"balsamproxy/io/peer"
@@ -43,14 +43,6 @@
 	// fleetStartWindow is how long after the first start of a fleet full bursts
 	// may be lent, because none of the allowance can have been spent before.
 	fleetStartWindow = 6 * time.Second
-	// memoryLimitNumerator and memoryLimitDenominator give the fraction of the
-	// memory setting that is used as the soft memory limit of the Go runtime,
-	// above which it collects garbage more often.
-	memoryLimitNumerator   = 7
-	memoryLimitDenominator = 10
-	// gcPercent makes the Go runtime collect garbage earlier than usual. The memory
-	// of a daemon is mostly idle links, which cost little to mark.
-	gcPercent = 25
 	// requestRetryShare is the fraction of the fleet's retry ratio used for
 	// retries of requests of callers. The rest is reserved for retries of the
 	// calls that they cause.
@@ -108,8 +100,10 @@
 	entry       *entry.Entry
 	callers     *http1.Server
 
-	crashes crashes
-	service atomic.Pointer[balsamproxy.ServiceID]
+	// evictions logs what is given up for lack of room.
+	evictions *events.Log
+	crashes   crashes
+	service   atomic.Pointer[balsamproxy.ServiceID]
 	// leaving is set when shutdown begins, and closing shortly before the daemon
 	// starts to reject calls of peers.
 	leaving atomic.Bool
@@ -141,16 +135,14 @@
 	daemon.metrics, daemon.metricsCloser, daemon.metricsExporter = NewMetrics(log)
 	daemon.platform = platform(daemon.metrics)
 	daemon.service.Store(&settings.Service)
-	if settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(settings.MemoryMB) << 20 * memoryLimitNumerator / memoryLimitDenominator)
-		debug.SetGCPercent(gcPercent)
-	}
+	goruntime.LimitMemory(settings.MemoryMB)
 	daemon.evidence.MaxAge = evidence.MaxAgeFor(time.Duration(settings.WithdrawalBound))
 	daemon.budget.Ratio = settings.RepeatRatio * requestRetryShare
 	daemon.budget.SetMax(settings.RepeatSlack * retrySlackShare)
 	daemon.crashes.onReport = daemon.announce
 	daemon.view = newView(settings.Host, settings.DataCentre, &daemon.table, log, time.Now)
-	daemon.bodies = memory.NewBudget(settings.BodyMemory())
+	daemon.bodies = settings.Budget()
+	daemon.evictions = &events.Log{Logger: log, Now: time.Now}
 	daemon.wirePeers()
 	daemon.wireStore()
 	daemon.wireRequestPath()
@@ -304,7 +296,8 @@
 	daemon.callers = &http1.Server{
 		Handler:        daemon.entry,
 		Bodies:         daemon.bodies,
-		MaxConnections: daemon.settings.MaxCallerConnections(descriptorLimit()),
+		MaxConnections: daemon.settings.MaxCallerConnections(goruntime.DescriptorLimit()),
+		OnEvict:        daemon.reportEviction,
 	}
 }
 
--- a/io/mesh/limits.go
+++ b/io/mesh/limits.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"math"
-	"syscall"
+	"net"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -15,13 +14,12 @@
 // limitsInterval is the interval between two updates of the metrics of limits.
 const limitsInterval = time.Second
 
-// descriptorLimit returns the maximum number of descriptors of this process.
-func descriptorLimit() int {
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
-		return math.MaxInt32
+// reportEviction logs a caller that was refused or whose connection was closed for lack of
+// room. The lines of each reason are bounded.
+func (daemon *Daemon) reportEviction(eviction http1.Eviction, caller net.Addr) {
+	if line := daemon.evictions.Decision("caller-evicted", string(eviction)); line != nil {
+		line.Str("caller", caller.String()).Send()
 	}
-	return int(limit.Cur)
 }
 
 // watchLimits exports the use of memory for bodies and of connections, until ctx ends.
@@ -36,6 +34,8 @@
 	refused := tagged("cause", "no-memory").Counter("bodies_given_up")
 	abandoned := tagged("cause", "stalled").Counter("bodies_given_up")
 	closed := daemon.metrics.Counter("caller_connections_closed")
+	unread := tagged("at", "entry").Counter("answers_given_up")
+	overhead := daemon.metrics.Gauge("connection_memory_bytes")
 	var last http1.Counts
 	return task.Every(ctx, limitsInterval, func(context.Context, time.Time) {
 		usage := daemon.bodies.Usage()
@@ -47,6 +47,8 @@
 		refused.Inc(counts.RefusedBodies - last.RefusedBodies)
 		abandoned.Inc(counts.AbandonedBodies - last.AbandonedBodies)
 		closed.Inc(counts.ClosedConnections - last.ClosedConnections)
+		unread.Inc(counts.AbandonedAnswers - last.AbandonedAnswers)
+		overhead.Update(float64(daemon.bodies.OverheadUsage()))
 		last = counts
 	})
 }
