http1: bodies take turns at being decoded

What callers saw: while 300 callers sent endless bodies in 1-byte chunks to a daemon with one core, an ordinary request got no 200 within its 4 s.

Cause: each connection decodes in a goroutine of its own, so an ordinary request waited for a time slice of every one of them at each of its steps.

Change: behind the first 16 KiB of a body, a part that was received is decoded only with a turn; there are half as many turns as processors, at least one, and those who wait get them in order. The turn is given back before the daemon waits for the caller. Input that is read and dropped behind a last request takes turns too. Requests without a long body wait for a few parts of 4 KiB.

Evidence (GOMAXPROCS=1, nothing beside): TestBusyCallers fails on (no 200 for the ordinary request, peak 53 MB of 64) and passes with the change, peak 49 MB. TestBodyInTinyChunks, 8 MiB in 1-byte chunks without overload, passes before and after.

Beside a load average of 20, TestBusyCallers failed once on this commit: the daemon had no room for the connection of the ordinary caller, since no caller lagged.

--- a/io/http1/body.go
+++ b/io/http1/body.go
@@ -41,7 +41,9 @@
 	connection.reading.Reset(time.Now())
 	reception := &reception{body: body, released: make(chan struct{})}
 	connection.reception.Store(reception)
+	connection.limited.turn.Enable()
 	refusal := connection.fillBody(body, head.Body, limits)
+	connection.limited.turn.Disable()
 	connection.reception.Store(nil)
 	if reception.abandoned.Load() && refusal != nil {
 		server.counts.abandonedBodies.Add(1)
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"balsamproxy/core/memory"
+	"balsamproxy/io/decoding"
 	"balsamproxy/task"
 )
 
@@ -72,7 +73,7 @@
 		ended:     make(chan struct{}),
 	}
 	connection.limited = &limitedReader{
-		reader: conn, lag: &connection.reading, charge: connection.chargeHead,
+		reader: conn, lag: &connection.reading, charge: connection.chargeHead, turn: decoding.Turn{Turns: &server.turns},
 	}
 	connection.reader = bufio.NewReaderSize(connection.limited, bufferBytes)
 	connection.writer = bufio.NewWriterSize(&lagWriter{writer: conn, lag: &connection.writing}, bufferBytes)
@@ -251,6 +252,8 @@
 // that disconnects before its response is written.
 func (connection *connection) discard() error {
 	connection.limited.removeLimit()
+	connection.limited.turn.Enable()
+	defer connection.limited.turn.Disable()
 	_ = connection.conn.SetReadDeadline(time.Time{})
 	if connection.closing.Load() {
 		return errClosing
--- a/io/http1/receive.go
+++ b/io/http1/receive.go
@@ -9,6 +9,7 @@
 
 	"balsamproxy"
 	"balsamproxy/core/memory"
+	"balsamproxy/io/decoding"
 )
 
 // limitedReader reads from a connection. While enabled, it limits the number of
@@ -24,6 +25,8 @@
 	// needed.
 	charge    func(bytes int64) bool
 	uncharged int
+	// turn bounds how many bodies are decoded at the same time.
+	turn decoding.Turn
 }
 
 var (
@@ -60,9 +63,11 @@
 }
 
 func (limited *limitedReader) read(buffer []byte) (int, error) {
+	limited.turn.End()
 	limited.lag.Begin(time.Now())
 	count, err := limited.reader.Read(buffer)
 	limited.lag.End(time.Now(), 0)
+	limited.turn.Begin(count)
 	return count, err
 }
 
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -18,6 +18,7 @@
 
 	"balsamproxy"
 	"balsamproxy/core/memory"
+	"balsamproxy/io/decoding"
 	"balsamproxy/task"
 )
 
@@ -135,6 +136,7 @@
 	serving       task.Group
 	inFlight      atomic.Int64
 	counts        counts
+	turns         decoding.Turns
 	defaultBodies sync.Once
 }
 
