http1: a request that comes for long gives way when nobody lags

What callers saw: callers that send bodies steadily, faster than the least rate, held all connections; an ordinary request met a closed connection.

Cause: only connections that lag, or are idle, gave way to a new one.

Change: if none lags, the connection goes whose request has been coming for the longest time, at least a second. Requests that have been received stay.

--- a/core/memory/budget.go
+++ b/core/memory/budget.go
@@ -21,10 +21,10 @@
 	// Overhead is the memory for connections and calls besides bodies; zero means that
 	// it is not bounded.
 	Overhead int64
-	// Holders are those that may be evicted when there is too little memory, Queue those
-	// who wait for that.
-	Holders Holders
-	Queue   Queue
+	// Holders are those that may be evicted when there is too little memory. Requesting
+	// and Responding are those who wait for that, for requests and for responses.
+	Holders                Holders
+	Requesting, Responding Queue
 
 	mutex    sync.Mutex
 	usage    Usage
--- a/core/memory/holder.go
+++ b/core/memory/holder.go
@@ -40,22 +40,32 @@
 	Evict(shortage Shortage) (<-chan struct{}, bool)
 }
 
-// Slowest returns the holder to evict, the one with the largest product of lag and what it
-// holds, since it has cost others the most. Those in passed are not considered. It returns
-// nil if no peer lags.
-func Slowest(holders iter.Seq[Holder], shortage Shortage, passed map[Holder]bool, now time.Time) Holder {
-	var slowest Holder
+// Cost returns what a holder costs others while it lags: the product of its lag and of what
+// it holds of what is short.
+func Cost[H Holder](shortage Shortage, now time.Time) func(H) float64 {
+	return func(holder H) float64 {
+		lag := holder.Lag(now)
+		if lag <= 0 {
+			return 0
+		}
+		return lag.Seconds() * float64(holder.Held(shortage))
+	}
+}
+
+// Costliest returns the holder with the highest cost, which is the one to evict. Those in
+// passed are not considered. It returns false if no cost is above zero.
+func Costliest[H Holder](holders iter.Seq[H], passed map[Holder]bool, cost func(H) float64) (H, bool) {
+	var costliest H
 	most := 0.0
 	for holder := range holders {
-		lag := holder.Lag(now)
-		if lag <= 0 || passed[holder] {
+		if passed[holder] {
 			continue
 		}
-		if cost := lag.Seconds() * float64(holder.Held(shortage)); cost > most {
-			slowest, most = holder, cost
+		if costs := cost(holder); costs > most {
+			costliest, most = holder, costs
 		}
 	}
-	return slowest
+	return costliest, most > 0
 }
 
 // Holders are the holders of a budget. The zero value is ready to use.
--- a/core/memory/holder_test.go
+++ b/core/memory/holder_test.go
@@ -53,9 +53,9 @@
 func (holder *holder) Evict(memory.Shortage) (<-chan struct{}, bool) { return nil, true }
 func (holder *holder) String() string                                { return holder.lag.String() }
 
-// TestSlowest guards against the eviction of those that hold nothing of what is short, or
+// TestCostliest guards against the eviction of those that hold nothing of what is short, or
 // that keep up, in favour of those that cost others the most.
-func TestSlowest(t *testing.T) {
+func TestCostliest(t *testing.T) {
 	idle := &holder{lag: time.Minute}
 	large := &holder{lag: time.Second, held: 64 << 20}
 	small := &holder{lag: 10 * time.Second, held: 4 << 10}
@@ -72,8 +72,10 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			got := memory.Slowest(slices.Values(test.holders), memory.ShortOfBodies, test.passed, time.Now())
+			cost := memory.Cost[memory.Holder](memory.ShortOfBodies, time.Now())
+			got, found := memory.Costliest(slices.Values(test.holders), test.passed, cost)
 			assert.Equal(t, got, test.want)
+			assert.Equal(t, found, test.want != nil)
 		})
 	}
 }
--- a/io/eviction/eviction.go
+++ b/io/eviction/eviction.go
@@ -11,31 +11,50 @@
 	// releaseTimeout bounds the wait for the memory of an evicted holder. Its goroutine
 	// is woken at once.
 	releaseTimeout = 100 * time.Millisecond
+	// responsePatience is how long a response waits for memory. Peers that do not take what
+	// they hold lag by then.
+	responsePatience = 2 * memory.MinLag
 	// pollInterval is how often it is looked whether the memory is already enough.
 	pollInterval = 5 * time.Millisecond
 )
 
-// Reclaim takes memory of a budget with enough, which returns what is short, if anything.
-// It evicts holders until there is no shortage, and returns false if no peer that holds
-// what is short lags any more.
+// Reclaim takes memory of a budget for a request with enough, which returns what is short, if
+// anything. It evicts holders until there is no shortage, and returns false if no peer that
+// holds what is short lags any more.
 func Reclaim(budget *memory.Budget, enough func() memory.Shortage) bool {
-	if budget.Queue.Empty() && enough() == memory.NoShortage {
+	return reclaim(budget, &budget.Requesting, 0, enough)
+}
+
+// ReclaimForResponse is like Reclaim for a response that has begun to come. It waits for a
+// peer to lag, since the request has run.
+func ReclaimForResponse(budget *memory.Budget, enough func() memory.Shortage) bool {
+	return reclaim(budget, &budget.Responding, responsePatience, enough)
+}
+
+func reclaim(budget *memory.Budget, queue *memory.Queue, patience time.Duration, enough func() memory.Shortage) bool {
+	if queue.Empty() && enough() == memory.NoShortage {
 		return true
 	}
-	budget.Queue.Enter()
-	defer budget.Queue.Leave()
+	queue.Enter()
+	defer queue.Leave()
+	end := time.Now().Add(patience)
 	passed := map[memory.Holder]bool{}
 	for {
 		shortage := enough()
 		if shortage == memory.NoShortage {
 			return true
 		}
-		slowest := memory.Slowest(budget.Holders.All(), shortage, passed, time.Now())
-		if slowest == nil {
-			return false
+		now := time.Now()
+		costliest, found := memory.Costliest(budget.Holders.All(), passed, memory.Cost[memory.Holder](shortage, now))
+		if !found {
+			if now.After(end) {
+				return false
+			}
+			time.Sleep(pollInterval)
+			continue
 		}
-		passed[slowest] = true
-		released, ok := slowest.Evict(shortage)
+		passed[costliest] = true
+		released, ok := costliest.Evict(shortage)
 		if ok && awaitRelease(released, enough) {
 			return true
 		}
--- a/io/http1/body.go
+++ b/io/http1/body.go
@@ -109,7 +109,10 @@
 func (connection *connection) refuseBody() *balsamproxy.Refusal {
 	connection.server.counts.refusedBodies.Add(1)
 	connection.server.reportEviction(EvictedBody, connection.conn)
-	return balsamproxy.NotRun(balsamproxy.ReasonOverloaded, "the memory for bodies is in use")
+	refusal := balsamproxy.NotRun(balsamproxy.ReasonOverloaded, "the memory for requests is in use")
+	// Peers that do not take what they hold lag by then.
+	refusal.RetryAfter = memory.MinLag
+	return refusal
 }
 
 // budget returns the memory for bodies, with a default if none is set.
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -30,6 +30,8 @@
 	inFlight atomic.Int64
 	// receiving tells whether a request is being received.
 	receiving atomic.Int32
+	// receivingSince is when the first byte of that request came, in Unix nanoseconds.
+	receivingSince atomic.Int64
 	// closing is set once no further request will be served.
 	closing atomic.Bool
 	// idleMutex guards the read deadline while no request is in flight.
@@ -127,7 +129,9 @@
 			return errClosing
 		}
 		connection.server.inFlight.Add(1)
-		connection.reading.Reset(time.Now())
+		now := time.Now()
+		connection.reading.Reset(now)
+		connection.receivingSince.Store(now.UnixNano())
 		connection.receiving.Store(receiving)
 		next := connection.receive()
 		if next.request != nil && previous != nil && !mayPipeline(next.request.Head) {
--- a/io/http1/limit.go
+++ b/io/http1/limit.go
@@ -1,7 +1,7 @@
 package http1
 
 import (
-	"iter"
+	"maps"
 	"net"
 	"sync/atomic"
 	"time"
@@ -16,6 +16,9 @@
 	acceptTimeout = 100 * time.Millisecond
 	// acceptPollInterval is how often that is looked at.
 	acceptPollInterval = 5 * time.Millisecond
+	// longRequest is how long a request must have been coming to be given up for a new
+	// connection although it keeps up.
+	longRequest = time.Second
 	// evictTries bounds how many connections are passed over at a time.
 	evictTries = 16
 )
@@ -99,7 +102,7 @@
 	if limit <= 0 {
 		limit = defaultMaxConnections
 	}
-	if len(server.connections) >= limit && !server.evictSlowestLocked() {
+	if len(server.connections) >= limit && !server.evictLocked() {
 		return false
 	}
 	if server.connections == nil {
@@ -112,37 +115,43 @@
 	return true
 }
 
-// evictSlowestLocked closes the connection whose caller lags most. One that goes on
-// meanwhile is passed over in favour of the next one. It returns false if none lags.
-func (server *Server) evictSlowestLocked() bool {
+// evictLocked closes the connection whose caller lags most or, if none lags, the one whose
+// request has been coming for the longest time. One that goes on meanwhile is passed over
+// in favour of the next one. It returns false if none can be spared.
+func (server *Server) evictLocked() bool {
 	now := time.Now()
+	evict := func(connection *connection) bool {
+		_, evicted := connection.Evict(memory.ShortOfConnections)
+		return evicted
+	}
+	if server.evictCostliestLocked(memory.Cost[*connection](memory.ShortOfConnections, now), evict) {
+		return true
+	}
+	return server.evictCostliestLocked(
+		func(connection *connection) float64 { return connection.receivingFor(now) },
+		func(connection *connection) bool {
+			_, evicted := connection.evictReceiving(memory.ShortOfConnections)
+			return evicted
+		})
+}
+
+func (server *Server) evictCostliestLocked(cost func(*connection) float64, evict func(*connection) bool) bool {
 	passed := map[memory.Holder]bool{}
 	for len(passed) < evictTries {
-		slowest, found := memory.Slowest(server.connections.holders(), memory.ShortOfConnections, passed, now).(*connection)
+		costliest, found := memory.Costliest(maps.Keys(server.connections), passed, cost)
 		if !found {
 			return false
 		}
-		if _, evicted := slowest.Evict(memory.ShortOfConnections); evicted {
+		if evict(costliest) {
 			server.counts.closedConnections.Add(1)
-			delete(server.connections, slowest)
+			delete(server.connections, costliest)
 			return true
 		}
-		passed[slowest] = true
+		passed[costliest] = true
 	}
 	return false
 }
 
-// holders returns the connections.
-func (connections connectionSet) holders() iter.Seq[memory.Holder] {
-	return func(yield func(memory.Holder) bool) {
-		for connection := range connections {
-			if !yield(connection) {
-				return
-			}
-		}
-	}
-}
-
 // chargeHead takes memory for a header that is being received, if need be from connections
 // that lag.
 func (connection *connection) chargeHead(bytes int64) bool {
@@ -193,6 +202,19 @@
 	return connection.reading.At(now)
 }
 
+// receivingFor returns for how many seconds a request has been coming, zero if it is less than
+// longRequest, or if others are in flight.
+func (connection *connection) receivingFor(now time.Time) float64 {
+	if connection.receiving.Load() != receiving || connection.inFlight.Load() != 1 {
+		return 0
+	}
+	since := now.Sub(time.Unix(0, connection.receivingSince.Load()))
+	if since < longRequest {
+		return 0
+	}
+	return since.Seconds()
+}
+
 // Held implements memory.Holder.
 func (connection *connection) Held(shortage memory.Shortage) int64 {
 	if shortage == memory.ShortOfConnections {
