Memory: answers that callers do not read are bounded, at the entry and beside the target

What callers saw: 240 callers that each sent 16 requests and read nothing made a daemon use 81 to 91 MB of its 64, and others got 502 for answers of 1 MiB.

Cause: the window of each call on a link, the first 32 KiB of each answer beside a target and the buffers of each call were in no budget. An answer beside a target that found no memory failed at once, and the answers that nobody took stayed until a write timed out.

Change: a request takes its window (64 KiB, then what is left of the answer) and the memory for its buffers before it is handled. A pipelined request waits for those before it. A call that comes over a link takes its memory before it is admitted; without it the call is refused as not run. An answer on its way to another daemon is a holder like a caller's connection and gives way while its link grants no credit. Data that a stream has received is kept as it came instead of being copied into a growing buffer.

--- a/io/entry/response_body.go
+++ b/io/entry/response_body.go
@@ -13,3 +13,11 @@
 	defer body.end()
 	return body.ReadCloser.Close()
 }
+
+// Held returns the memory that the body holds on this host, in bytes.
+func (body *responseBody) Held() int64 {
+	if holder, ok := body.ReadCloser.(interface{ Held() int64 }); ok {
+		return holder.Held()
+	}
+	return 0
+}
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -45,10 +45,14 @@
 	// reading and writing are how far the caller lags with the request that is being
 	// received and with reading responses.
 	reading, writing memory.Lag
-	// overhead is the memory of the connection itself.
+	// overhead is the memory of the connection itself, charges that of the requests in
+	// flight.
 	overhead *memory.Charge
+	charges  memory.Charges
 	// reception is the body that is being received, nil if there is none.
 	reception atomic.Pointer[reception]
+	// answerBytes is the memory that the body of the response being written holds.
+	answerBytes atomic.Int64
 	// closed is set when the connection is given up, ended is closed when it has ended.
 	closed atomic.Bool
 	ended  chan struct{}
@@ -57,6 +61,8 @@
 // pending is one request whose response has not been written yet.
 type pending struct {
 	request *Request
+	// charge is the memory for the request and its response on their way.
+	charge *memory.Charge
 	// response receives the response.
 	response chan Response
 	// closeAfter reports whether the connection closes after the response.
@@ -137,6 +143,10 @@
 		if next.request != nil && previous != nil && !mayPipeline(next.request.Head) {
 			<-previous.done
 		}
+		if next.request != nil && !connection.charge(next, previous) {
+			next.request.Body.Release()
+			connection.refuse(next, connection.refuseBody())
+		}
 		if next.request != nil {
 			connection.start(ctx, next)
 		}
@@ -280,11 +290,23 @@
 	task.Start(ctx, func(ctx context.Context) error {
 		response := connection.server.Handler.Handle(ctx, next.request)
 		next.request.Body.Release()
+		next.charge.ShrinkWindow(windowOf(response))
 		next.response <- response
 		return nil
 	})
 }
 
+// windowOf returns how much of a response may be held on its way to the caller.
+func windowOf(response Response) int64 {
+	switch {
+	case response.Body == nil:
+		return 0
+	case response.ContentLength < 0:
+		return memory.WindowBytes
+	}
+	return min(response.ContentLength, memory.WindowBytes)
+}
+
 // writeResponses writes responses in request order until the reader has ended.
 // After a failed write or a final response it drops the remaining ones.
 func (connection *connection) writeResponses(ctx context.Context, cancel func()) error {
@@ -305,6 +327,7 @@
 		default:
 			closeBody(response)
 		}
+		connection.charges.Release(next.charge)
 		close(next.done)
 		connection.server.inFlight.Add(-1)
 		connection.endRequest()
--- a/io/http1/limit.go
+++ b/io/http1/limit.go
@@ -21,6 +21,8 @@
 	longRequest = time.Second
 	// evictTries bounds how many connections are passed over at a time.
 	evictTries = 16
+	// requestBytes is the memory of a request in flight for its buffers and stacks.
+	requestBytes = 24 << 10
 )
 
 // Eviction is what was given up because there was too little room.
@@ -158,6 +160,26 @@
 	return connection.server.reclaim(func() memory.Shortage { return connection.overhead.GrowOverhead(bytes) })
 }
 
+// charge takes the memory that a request and its response need on their way. A request
+// behind others waits until they have ended, if need be; the first one may take it from
+// connections that lag. It returns false if there is too little.
+func (connection *connection) charge(next, previous *pending) bool {
+	budget := connection.server.budget()
+	enough := func() memory.Shortage {
+		charge, shortage := budget.Charge(requestBytes, memory.WindowBytes)
+		next.charge = charge
+		return shortage
+	}
+	if previous != nil && (!budget.Requesting.Empty() || enough() != memory.NoShortage) {
+		<-previous.done
+	}
+	if next.charge == nil && !connection.server.reclaim(enough) {
+		return false
+	}
+	connection.charges.Add(next.charge)
+	return true
+}
+
 // receiving is the state of the request that a connection reads.
 const (
 	notReceiving int32 = iota
@@ -220,14 +242,14 @@
 	if shortage == memory.ShortOfConnections {
 		return 1
 	}
-	held := connection.overhead.Held(shortage)
+	held := connection.overhead.Held(shortage) + connection.charges.Held(shortage)
 	if shortage != memory.ShortOfBodies {
 		return held
 	}
 	if reception := connection.reception.Load(); reception != nil {
 		held += reception.body.Held()
 	}
-	return held
+	return held + connection.answerBytes.Load()
 }
 
 // Evict implements memory.Holder.
--- a/io/http1/response.go
+++ b/io/http1/response.go
@@ -36,12 +36,15 @@
 	if err := connection.writeHead(response, framing, closeAfter || framing == untilClose); err != nil {
 		return err
 	}
+	connection.answerBytes.Store(heldBy(response.Body))
+	defer connection.answerBytes.Store(0)
 	if framing != noBody && response.Body != nil {
-		if err := connection.copyBody(response.Body, framing); err != nil {
+		if err := connection.copyBody(next, response, framing); err != nil {
 			connection.reset()
 			return err
 		}
 	}
+	next.charge.ShrinkWindow(0)
 	if err := connection.writer.Flush(); err != nil {
 		return eris.Wrap(err, "http1: cannot write an answer")
 	}
@@ -51,6 +54,14 @@
 	return nil
 }
 
+// heldBy returns the memory that a body holds until it is closed, as far as it tells.
+func heldBy(body io.Reader) int64 {
+	if holder, ok := body.(interface{ Held() int64 }); ok {
+		return holder.Held()
+	}
+	return 0
+}
+
 // framing is how the end of a body is delimited.
 type framing int
 
@@ -109,11 +120,16 @@
 	return err
 }
 
-func (connection *connection) copyBody(body io.Reader, framing framing) error {
+func (connection *connection) copyBody(next *pending, response Response, framing framing) error {
 	buffer := make([]byte, copyBufferBytes)
+	left := response.ContentLength
 	for {
-		count, err := body.Read(buffer)
+		count, err := response.Body.Read(buffer)
 		if count > 0 {
+			if left -= int64(count); framing == byLength {
+				// What has been read is no longer held on its way.
+				next.charge.ShrinkWindow(max(left, 0))
+			}
 			_ = connection.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if err := connection.writeChunk(buffer[:count], framing); err != nil {
 				return err
--- a/io/mesh/daemon.go
+++ b/io/mesh/daemon.go
@@ -102,8 +102,11 @@
 
 	// evictions logs what is given up for lack of room.
 	evictions *events.Log
-	crashes   crashes
-	service   atomic.Pointer[balsamproxy.ServiceID]
+	// evictedAnswers counts the responses to peers that were given up.
+	evictedAnswers atomic.Int64
+
+	crashes crashes
+	service atomic.Pointer[balsamproxy.ServiceID]
 	// leaving is set when shutdown begins, and closing shortly before the daemon
 	// starts to reject calls of peers.
 	leaving atomic.Bool
@@ -163,7 +166,13 @@
 
 		Bodies: daemon.bodies,
 	}
-	daemon.peerServer = &peer.Server{Local: daemon.local, Status: daemon.status, OnStatus: daemon.handleGreeting}
+	daemon.peerServer = &peer.Server{
+		Local:    daemon.local,
+		Status:   daemon.status,
+		OnStatus: daemon.handleGreeting,
+		Memory:   daemon.bodies,
+		OnEvict:  daemon.reportEvictedAnswer,
+	}
 	daemon.pool = &peer.Pool{
 		Host:           daemon.settings.Host,
 		Directory:      daemon.view,
--- a/io/mesh/limits.go
+++ b/io/mesh/limits.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"balsamproxy"
 	"balsamproxy/io/http1"
 	"balsamproxy/task"
 )
@@ -22,6 +23,15 @@
 	}
 }
 
+// reportEvictedAnswer logs a response that was given up because the daemon of a caller took
+// it too slowly.
+func (daemon *Daemon) reportEvictedAnswer(host balsamproxy.HostID) {
+	daemon.evictedAnswers.Add(1)
+	if line := daemon.evictions.Decision("answer-evicted", "slow-peer"); line != nil {
+		line.Str("peer", string(host)).Send()
+	}
+}
+
 // watchLimits exports the use of memory for bodies and of connections, until ctx ends.
 func (daemon *Daemon) watchLimits(ctx context.Context) error {
 	tagged := func(key, value string) tally.Scope {
@@ -35,6 +45,7 @@
 	abandoned := tagged("cause", "stalled").Counter("bodies_given_up")
 	closed := daemon.metrics.Counter("caller_connections_closed")
 	unread := tagged("at", "entry").Counter("answers_given_up")
+	unsent := tagged("at", "target").Counter("answers_given_up")
 	overhead := daemon.metrics.Gauge("connection_memory_bytes")
 	var last http1.Counts
 	return task.Every(ctx, limitsInterval, func(context.Context, time.Time) {
@@ -48,6 +59,7 @@
 		abandoned.Inc(counts.AbandonedBodies - last.AbandonedBodies)
 		closed.Inc(counts.ClosedConnections - last.ClosedConnections)
 		unread.Inc(counts.AbandonedAnswers - last.AbandonedAnswers)
+		unsent.Inc(daemon.evictedAnswers.Swap(0))
 		overhead.Update(float64(daemon.bodies.OverheadUsage()))
 		last = counts
 	})
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/websocket"
 
 	"balsamproxy"
+	"balsamproxy/core/memory"
 	"balsamproxy/task"
 )
 
@@ -24,6 +25,12 @@
 	// OnStatus is called with each status that a dialling daemon sends; it may
 	// be nil.
 	OnStatus func(balsamproxy.Status)
+	// Memory bounds the memory for calls, and for responses on their way to a peer; nil
+	// does not bound it.
+	Memory *memory.Budget
+	// OnEvict is called when a response is given up because the peer takes it too slowly
+	// while memory is short. It must not block, and may be nil.
+	OnEvict func(caller balsamproxy.HostID)
 
 	mutex    sync.Mutex
 	links    map[*serverLink]struct{}
@@ -224,12 +231,19 @@
 
 // serve forwards one call to its target and sends the response to the peer.
 func (link *serverLink) serve(ctx context.Context, stream *stream, head balsamproxy.CallHead, recalled <-chan struct{}) error {
+	charge, refusal := link.charge(head)
+	if refusal != nil {
+		stream.sendRefusal(refusal)
+		return refusal
+	}
+	defer charge.Release()
 	call := balsamproxy.Call{Head: head, Body: &bodyReader{stream: stream, context: ctx}, Recalled: recalled}
 	answer, err := link.server.Local.Forward(ctx, call)
 	if err != nil {
 		stream.sendRefusal(refusalOf(err))
 		return err
 	}
+	defer link.holdAnswer(stream, answer)()
 	defer closeBody(answer)
 	return stream.sendAnswer(ctx, answer)
 }
--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -5,10 +5,12 @@
 	"errors"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
 	"balsamproxy"
+	"balsamproxy/core/memory"
 )
 
 // stream is one exchange on a link. It carries a body in each direction, with
@@ -32,7 +34,9 @@
 
 type inbound struct {
 	sync.Mutex
-	data     []byte
+	// chunks are the data of the frames that have not been read, held their length.
+	chunks   [][]byte
+	held     int
 	consumed int
 	ended    bool
 	err      error
@@ -44,6 +48,8 @@
 	credit  int
 	err     error
 	changed chan struct{}
+	// lag is how far the peer lags with granting credit.
+	lag memory.Lag
 }
 
 func newStream(id streamID, link *link) *stream {
@@ -100,15 +106,18 @@
 	signal(outbound.changed)
 }
 
-// receive buffers the body data of a frame. It never blocks, and fails if the
+// receive takes over the body data of a frame. It never blocks, and fails if the
 // peer exceeds its credit.
 func (inbound *inbound) receive(data []byte, end bool) error {
 	inbound.Lock()
 	defer inbound.Unlock()
-	if len(inbound.data)+len(data) > windowBytes {
+	if inbound.held+len(data) > windowBytes {
 		return eris.Wrap(ErrLinkProtocol, "more data than credit")
 	}
-	inbound.data = append(inbound.data, data...)
+	if len(data) > 0 {
+		inbound.chunks = append(inbound.chunks, data)
+		inbound.held += len(data)
+	}
 	inbound.ended = inbound.ended || end
 	signal(inbound.changed)
 	return nil
@@ -145,8 +154,16 @@
 func (inbound *inbound) consume(buffer []byte) (int, int, error) {
 	inbound.Lock()
 	defer inbound.Unlock()
-	count := copy(buffer, inbound.data)
-	inbound.data = inbound.data[count:]
+	count := 0
+	for count < len(buffer) && len(inbound.chunks) > 0 {
+		copied := copy(buffer[count:], inbound.chunks[0])
+		count += copied
+		inbound.chunks[0] = inbound.chunks[0][copied:]
+		if len(inbound.chunks[0]) == 0 {
+			inbound.chunks = inbound.chunks[1:]
+		}
+	}
+	inbound.held -= count
 	if count == 0 {
 		return 0, 0, inbound.errLocked()
 	}
@@ -180,14 +197,24 @@
 		if granted > 0 {
 			return granted, nil
 		}
-		select {
-		case <-outbound.changed:
-		case <-ctx.Done():
-			return 0, ctx.Err()
+		if err := outbound.awaitCredit(ctx); err != nil {
+			return 0, err
 		}
 	}
 }
 
+// awaitCredit waits until the credit may have changed.
+func (outbound *outbound) awaitCredit(ctx context.Context) error {
+	outbound.lag.Begin(time.Now())
+	defer func() { outbound.lag.End(time.Now(), 0) }()
+	select {
+	case <-outbound.changed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // writeBody sends a body in chunks as credit allows. An error of the body's
 // reader is returned unchanged.
 func (stream *stream) writeBody(ctx context.Context, body io.Reader) error {
@@ -199,6 +226,7 @@
 		}
 		count, err := body.Read(buffer[:granted])
 		stream.outbound.grant(granted - count)
+		stream.outbound.lag.Credit(count)
 		ended := errors.Is(err, io.EOF)
 		if err != nil && !ended {
 			return err
--- a/io/target/body_buffer.go
+++ b/io/target/body_buffer.go
@@ -7,12 +7,13 @@
 	"sync"
 
 	"balsamproxy/core/memory"
+	"balsamproxy/io/eviction"
 )
 
 const (
 	// firstChunkBytes and bodyChunkBytes are the sizes of the pieces in which a
-	// body is buffered. The first one is not taken from the budget, so small
-	// bodies never lack memory; the slots of the targets bound their number.
+	// body is buffered. The first one has been charged with the call, so small
+	// bodies never lack memory.
 	firstChunkBytes = 4 << 10
 	bodyChunkBytes  = 32 << 10
 )
@@ -47,7 +48,7 @@
 			return buffer, nil
 		}
 		size = bodyChunkBytes
-		if err == nil && !budget.Grow(buffer.held, size) {
+		if err == nil && !growBody(budget, buffer.held, size) {
 			err = errBodyTooLong
 		}
 		if err != nil {
@@ -58,6 +59,17 @@
 	}
 }
 
+// growBody takes more bytes for a body that has held bytes, if need be from bodies that
+// are read too slowly. A body that the budget never has room for takes nothing from others.
+func growBody(budget *memory.Budget, held, more int64) bool {
+	return eviction.ReclaimForResponse(budget, func() memory.Shortage {
+		if budget.Grow(held, more) || !budget.Attainable(held, more) {
+			return memory.NoShortage
+		}
+		return memory.ShortOfBodies
+	}) && budget.Attainable(held, more)
+}
+
 // fill reads until the chunk is full. Unlike io.ReadFull it returns the error of
 // the reader, which tells the end of a body from a body that was cut off.
 func fill(reader io.Reader, chunk []byte) (int, error) {
@@ -72,6 +84,9 @@
 	return count, nil
 }
 
+// Held returns the memory taken from the budget, in bytes.
+func (buffer *bodyBuffer) Held() int64 { return buffer.held }
+
 // Close returns the memory to the budget.
 func (buffer *bodyBuffer) Close() error {
 	buffer.once.Do(func() { buffer.budget.Release(buffer.held) })
