daemon: bound the memory and the connections of callers

What callers saw: the daemon of the product's own interface (`balsamproxy daemon`) accepted connections until its descriptors were used up, and had no bound on the sum of bodies: 300 callers with orders of just under 1 MiB that they did not end made a daemon use 423 MB, with uploads of 64 KiB 71 to 114 MB.

Cause: net/http bounds neither connections nor the buffers of the handlers.

Change: the daemon has the settings memory-mb, body-memory-mb, connection-memory-mb and caller-connections of the mesh, with the same account (core/memory) and the same rule for which connection goes. A connection measures how far its caller lags below net/http; heads count from the beginning, bodies by the bytes that were decoded. Bodies are buffered in memory of the budget and take turns at being decoded. Calls that come over links are charged as in the mesh.

TestUnreadAnswers passes before and after. An ordinary request waits long while uploads hold the slots of its target (24 s for the whole case "tiny chunks", before and after).

--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -53,8 +53,9 @@
 	// loopback addresses.
 	AllowPlain bool `json:"allow-plain,omitempty"`
 	// ShutdownGraceMS limits the time of a graceful shutdown, in milliseconds.
-	ShutdownGraceMS int    `json:"shutdown-grace-ms,omitempty"`
-	LogLevel        string `json:"log-level,omitempty"`
+	ShutdownGraceMS int `json:"shutdown-grace-ms,omitempty"`
+	Limits
+	LogLevel string `json:"log-level,omitempty"`
 }
 
 // Certificate holds the file names of a TLS certificate and private key.
@@ -100,6 +101,7 @@
 	settings.checkTargetLoopback(&faults)
 	settings.checkStoreAddresses(&faults)
 	settings.checkTLS(&faults)
+	settings.checkLimits(&faults)
 	checkLogLevel(&faults, settings.LogLevel)
 	if settings.OperatorTokenDigest != "" && !digestPattern.MatchString(settings.OperatorTokenDigest) {
 		faults.Add("/operator-token-digest", "must be \"sha256:\" and 64 lower-case hex digits")
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	"balsamproxy"
 	"balsamproxy/core/config"
+	"balsamproxy/core/memory"
 	"balsamproxy/core/retry"
 	"balsamproxy/core/throttle"
 	"balsamproxy/io/fleet"
@@ -56,6 +58,13 @@
 	Throttle *throttle.Throttle
 	// Random returns uniformly distributed numbers in [0, 1).
 	Random func() float64
+	// Memory bounds the memory for connections, requests in flight and their bodies.
+	Memory *memory.Budget
+	// MaxConnections bounds the open connections.
+	MaxConnections int
+	// OnEvict is called when a caller is refused or its connection closed for lack of
+	// room. It must not block, and may be nil.
+	OnEvict func(reason string, caller net.Addr)
 
 	answers     httpresponse.Writer
 	leaving     atomic.Bool
@@ -86,6 +95,17 @@
 // Leave closes each connection after its next response, by a Connection header.
 func (handler *Handler) Leave() { handler.leaving.Store(true) }
 
+// Limit returns a listener for Server that bounds the connections.
+func (handler *Handler) Limit(listener net.Listener) net.Listener {
+	handler.connections.memory = handler.Memory
+	handler.connections.most = handler.MaxConnections
+	handler.connections.onEvict = handler.OnEvict
+	return limitedListener{Listener: listener, connections: &handler.connections}
+}
+
+// Connections returns the number of open connections.
+func (handler *Handler) Connections() int { return handler.connections.count() }
+
 // Server returns an HTTP server for callers.
 func (handler *Handler) Server() *http.Server {
 	return &http.Server{
@@ -94,6 +114,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         handler.connections.track,
+		ConnContext:       withConn,
 	}
 }
 
@@ -152,12 +173,20 @@
 	}
 	timeout := routeTimeout(request, match.route)
 	_ = http.NewResponseController(writer).SetReadDeadline(time.Now().Add(timeout + bodyReadMargin))
-	ctx, cancel := context.WithTimeout(requestContext(request, match.route), timeout)
+	holding, refusal := handler.hold(request)
+	if refusal != nil {
+		return nil, refusal
+	}
+	ctx, cancelContext := context.WithTimeout(requestContext(request, match.route), timeout)
+	cancel := func() {
+		cancelContext()
+		holding.release()
+	}
 	request.Body = http.MaxBytesReader(writer, request.Body, maxBodyBytes)
-	body, err := fleet.BufferBody(request.Body, request.ContentLength, bodyBufferSize(match.route))
+	body, err := fleet.BufferBody(holding.limit(request.Body), request.ContentLength, bodyBufferSize(match.route), holding.grow)
 	if err != nil {
 		cancel()
-		return nil, balsamproxy.NotRun(balsamproxy.ReasonBadRequest, err.Error())
+		return nil, holding.bodyRefusal(err)
 	}
 	run := &run{
 		handler: handler, writer: writer, request: request, id: id,
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"balsamproxy/core/config"
 	"balsamproxy/core/inflight"
 	"balsamproxy/core/membership"
+	"balsamproxy/core/memory"
 	"balsamproxy/core/retry"
 	"balsamproxy/core/settings"
 	corestanding "balsamproxy/core/standing"
@@ -24,7 +25,9 @@
 	"balsamproxy/io/caller"
 	"balsamproxy/io/certificate"
 	"balsamproxy/io/etcd"
+	"balsamproxy/io/events"
 	"balsamproxy/io/fleet"
+	"balsamproxy/io/goruntime"
 	"balsamproxy/io/operator"
 	"balsamproxy/io/orders"
 	"balsamproxy/io/peer"
@@ -45,6 +48,10 @@
 	metrics       tally.Scope
 	metricsCloser interface{ Close() error }
 
+	// memory bounds what callers and calls hold, evictions logs what is given up.
+	memory    *memory.Budget
+	evictions *events.Log
+
 	current      config.Current
 	members      membership.Table
 	parents      inflight.Table
@@ -83,7 +90,9 @@
 // New returns a daemon for settings that have been validated. It loads the
 // certificate files but opens no sockets.
 func New(settings settings.Settings, log zerolog.Logger) (*Daemon, error) {
-	daemon := &Daemon{settings: settings, log: log}
+	daemon := &Daemon{settings: settings, log: log, memory: settings.Budget()}
+	daemon.evictions = &events.Log{Logger: log, Now: time.Now}
+	goruntime.LimitMemory(settings.MemoryMB)
 	if err := daemon.loadIdentities(); err != nil {
 		return nil, err
 	}
--- a/io/daemon/wire.go
+++ b/io/daemon/wire.go
@@ -16,6 +16,7 @@
 	"balsamproxy/io/caller"
 	"balsamproxy/io/etcd"
 	"balsamproxy/io/fleet"
+	"balsamproxy/io/goruntime"
 	"balsamproxy/io/operator"
 	"balsamproxy/io/orders"
 	"balsamproxy/io/peer"
@@ -142,7 +143,7 @@
 	if daemon.identities.peer != nil {
 		daemon.pool.TLS = daemon.identities.peer.ClientConfig
 	}
-	daemon.peerServer = &peer.Server{Local: daemon.carrier}
+	daemon.peerServer = &peer.Server{Local: daemon.carrier, Memory: daemon.memory, OnEvict: daemon.reportEvictedAnswer}
 }
 
 // wireRequestPath sets up the path of a request from a caller to a target.
@@ -178,6 +179,10 @@
 		Orders:    daemon.orders,
 		Throttle:  &throttle.Throttle{},
 		Random:    rand.Float64,
+
+		Memory:         daemon.memory,
+		MaxConnections: daemon.settings.MaxCallerConnections(goruntime.DescriptorLimit()),
+		OnEvict:        daemon.reportEviction,
 	}
 	daemon.targets = &target.Handler{
 		Host:      host,
--- a/io/fleet/body.go
+++ b/io/fleet/body.go
@@ -27,21 +27,38 @@
 	readErr  atomic.Pointer[error]
 }
 
-// BufferBody buffers at most limit bytes from the beginning of a body. It returns
-// an error if reading them fails or the body ends before its declared length.
-func BufferBody(body io.Reader, length, limit int64) (*Body, error) {
+// ErrNoMemory means that there was no memory for a body.
+var ErrNoMemory = errors.New("no memory for the body of the request")
+
+// firstBufferBytes is the first size of the buffer for a body.
+const firstBufferBytes = 4 << 10
+
+// BufferBody buffers at most limit bytes from the beginning of a body. It takes the memory
+// with grow, which reports whether there is enough. It returns an error if there is not,
+// if reading fails or if the body ends before its declared length.
+func BufferBody(body io.Reader, length, limit int64, grow func(bytes int64) bool) (*Body, error) {
 	if length == 0 {
 		return &Body{}, nil
 	}
-	var start bytes.Buffer
-	count, err := io.CopyN(&start, body, limit)
-	if errors.Is(err, io.EOF) {
-		return &Body{start: start.Bytes(), length: count}, checkLength(count, length)
-	}
-	if err != nil {
-		return nil, errBodyIncomplete
+	var start []byte
+	for int64(len(start)) < limit {
+		if len(start) == cap(start) {
+			larger := min(max(firstBufferBytes, 2*int64(cap(start))), limit)
+			if !grow(larger - int64(cap(start))) {
+				return nil, ErrNoMemory
+			}
+			start = append(make([]byte, 0, larger), start...)
+		}
+		count, err := body.Read(start[len(start):cap(start)])
+		start = start[:len(start)+count]
+		if errors.Is(err, io.EOF) {
+			return &Body{start: start, length: int64(len(start))}, checkLength(int64(len(start)), length)
+		}
+		if err != nil {
+			return nil, errBodyIncomplete
+		}
 	}
-	return &Body{start: start.Bytes(), rest: body, length: length}, nil
+	return &Body{start: start, rest: body, length: length}, nil
 }
 
 func checkLength(count, length int64) error {
--- a/io/target/nested.go
+++ b/io/target/nested.go
@@ -68,7 +68,8 @@
 	stop := context.AfterFunc(parent.Context, cancel)
 	defer stop()
 	request.Body = http.MaxBytesReader(writer, request.Body, bodyBytesMax)
-	body, err := fleet.BufferBody(request.Body, request.ContentLength, fleet.BodyBufferBytes)
+	// The targets of this host are trusted, and their slots bound how many calls they make.
+	body, err := fleet.BufferBody(request.Body, request.ContentLength, fleet.BodyBufferBytes, func(int64) bool { return true })
 	if err != nil {
 		httpresponse.WriteRefusal(writer, parent.Head.RequestID, balsamproxy.NotRun(balsamproxy.ReasonBadRequest, err.Error()))
 		return
--- a/proofs/fleet_test.go
+++ b/proofs/fleet_test.go
@@ -79,6 +79,10 @@
 	process      *exec.Cmd
 	done         chan error
 	log          *logBuffer
+	// descriptors limits the open files of the process, zero does not.
+	descriptors int
+	// environment is added to the environment of the process.
+	environment []string
 }
 
 func newFleet(t testing.TB, daemons int) *fleet {
@@ -126,11 +130,16 @@
 		ShutdownGraceMS:     settings.DefaultShutdownGraceMS,
 		LogLevel:            "info",
 	}}
+	daemon.settingsFile = filepath.Join(t.TempDir(), "settings.json")
+	daemon.writeSettings(t)
+	return daemon
+}
+
+func (daemon *daemon) writeSettings(t testing.TB) {
+	t.Helper()
 	data, err := json.Marshal(daemon.settings)
 	assert.NilError(t, err)
-	daemon.settingsFile = filepath.Join(t.TempDir(), "settings.json")
 	assert.NilError(t, os.WriteFile(daemon.settingsFile, data, 0o600))
-	return daemon
 }
 
 func (fleet *fleet) start() {
@@ -142,6 +151,11 @@
 func (fleet *fleet) startDaemon(daemon *daemon) {
 	daemon.log = &logBuffer{}
 	daemon.process = exec.Command(program, "daemon", "--settings", daemon.settingsFile)
+	if daemon.descriptors > 0 {
+		script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, daemon.descriptors)
+		daemon.process = exec.Command("sh", "-c", script, program, "daemon", "--settings", daemon.settingsFile)
+	}
+	daemon.process.Env = append(os.Environ(), daemon.environment...)
 	daemon.process.Stderr = daemon.log
 	assert.NilError(fleet.t, daemon.process.Start())
 	daemon.done = make(chan error, 1)
