--- a/cmd/balsamproxy-soak/main.go
+++ b/cmd/balsamproxy-soak/main.go
@@ -26,6 +26,7 @@
 	Daemons       int           `long:"daemons" default:"6" description:"number of daemons"`
 	Callers       int           `long:"callers" default:"12" description:"number of callers"`
 	RestoreStore  bool          `long:"restore-store" description:"also restore the store from old copies"`
+	Hostile       bool          `long:"hostile-callers" description:"also play callers that do not end what they begin"`
 	Program       string        `long:"program" description:"the program under test; built from this module if not given"`
 	Logs          string        `long:"logs" description:"directory for settings and logs; a temporary one if not given"`
 }
@@ -92,7 +93,7 @@
 		}
 		report, err := soak.Run(ctx, soak.Options{
 			Program: program, Directory: logs, Seed: seed, FaultDuration: options.FaultDuration, Daemons: options.Daemons, Callers: options.Callers,
-			RestoreStore: options.RestoreStore,
+			RestoreStore: options.RestoreStore, HostileCallers: options.Hostile,
 		})
 		if err != nil {
 			return failed, err
@@ -117,7 +118,14 @@
 	for _, line := range report.Timeline {
 		fmt.Println("  ", line)
 	}
-	fmt.Printf("  logs: %s\n  reproduce with: go run ./cmd/balsamproxy-soak --seed %d --lasts %v --daemons %d --callers %d\n",
-		logs, seed, options.FaultDuration, options.Daemons, options.Callers)
+	flags := ""
+	if options.RestoreStore {
+		flags += " --restore-store"
+	}
+	if options.Hostile {
+		flags += " --hostile-callers"
+	}
+	fmt.Printf("  logs: %s\n  reproduce with: go run ./cmd/balsamproxy-soak --seed %d --lasts %v --daemons %d --callers %d%s\n",
+		logs, seed, options.FaultDuration, options.Daemons, options.Callers, flags)
 	return true
 }
