--- a/cmd/balsamproxy/main.go
+++ b/cmd/balsamproxy/main.go
@@ -121,6 +121,16 @@
   balsamproxy config show --daemon https://10.0.0.1:8443
   balsamproxy config apply config.json --revision 17
 
+Settings of daemon and mesh that bound what callers hold. When one is used up,
+callers that send or read slowly go first.
+memory-mb: memory of the process in MB (default none)
+body-memory-mb: for bodies (default 7/16 of memory-mb, or 64)
+connection-memory-mb: for connections, and for requests and calls in flight
+besides their bodies (default 1/8 of memory-mb, or 192)
+caller-connections: open connections of callers (default 4 for each MB of
+memory-mb, or 4096); no more than half of the open files, nor than fit into
+connection-memory-mb
+
 Exit status: 0 success, 1 failure, 2 invalid arguments, settings or
 document, 3 revision conflict with another operator, 4 outcome unknown or not
 yet in force everywhere. Warnings of config check do not change it.
