Evictions: each is counted once, and no turn outlives its request

A caller or an answer that was already given up could be counted and logged again. In the older daemon, a request whose body was not read to its end kept its connection in line for turns, so that one could be held while the next request of the connection was handled. Found by reading; no run showed either.

--- a/io/caller/holding.go
+++ b/io/caller/holding.go
@@ -49,6 +49,8 @@
 // release returns the memory.
 func (holding *holding) release() {
 	if holding.conn != nil {
+		// The body may not have been read to its end.
+		holding.conn.turn.Disable()
 		holding.conn.charges.Release(holding.charge)
 		return
 	}
--- a/io/http1/limit.go
+++ b/io/http1/limit.go
@@ -298,8 +298,11 @@
 	if tcp, ok := connection.conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
-	connection.server.counts.abandonedAnswers.Add(1)
-	return connection.close(EvictedAnswer)
+	ended, closed := connection.close(EvictedAnswer)
+	if closed {
+		connection.server.counts.abandonedAnswers.Add(1)
+	}
+	return ended, closed
 }
 
 // close closes the connection. It returns false if it has been closed already.
--- a/io/peer/memory.go
+++ b/io/peer/memory.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -43,6 +44,7 @@
 	stream   *stream
 	link     *serverLink
 	bytes    int64
+	evicted  atomic.Bool
 	released chan struct{}
 }
 
@@ -66,10 +68,11 @@
 
 // Lag implements memory.Holder.
 func (held *heldAnswer) Lag(now time.Time) time.Duration {
-	if lag := held.stream.outbound.lag.At(now); lag >= memory.MinLag {
-		return lag
+	lag := held.stream.outbound.lag.At(now)
+	if lag < memory.MinLag || held.evicted.Load() {
+		return 0
 	}
-	return 0
+	return lag
 }
 
 // Held implements memory.Holder.
@@ -87,6 +90,9 @@
 // Evict implements memory.Holder. The caller of the request never sees the end of the
 // response.
 func (held *heldAnswer) Evict(memory.Shortage) (<-chan struct{}, bool) {
+	if held.evicted.Swap(true) {
+		return nil, false
+	}
 	held.stream.outbound.fail(errAnswerEvicted)
 	if held.link.server.OnEvict != nil {
 		held.link.server.OnEvict(held.link.host)
