http1: a body that gives way needs no turn to end

While a body waited for memory it kept its turn, and the body that was to give way waited for that turn before it could end; with one turn, each such eviction took the 100 ms for which the first one waits. A head that found no memory could also fail the body or the next request behind it, since the error came together with the last bytes of the head.

--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -48,7 +48,9 @@
 	conn.reading.Begin(time.Now())
 	count, err := conn.Conn.Read(buffer)
 	conn.reading.End(time.Now(), 0)
-	conn.turn.Begin(count)
+	if err == nil {
+		conn.turn.Begin(count)
+	}
 	return count, err
 }
 
--- a/io/http1/body.go
+++ b/io/http1/body.go
@@ -73,6 +73,8 @@
 			return balsamproxy.NotRun(balsamproxy.ReasonTooLarge, "the body is longer than allowed")
 		}
 		if full && count > 0 {
+			// Those that give way need a turn to end.
+			connection.limited.turn.End()
 			if !server.reclaimBodies(body.Grow) {
 				return connection.refuseBody()
 			}
--- a/io/http1/receive.go
+++ b/io/http1/receive.go
@@ -42,7 +42,8 @@
 
 func (limited *limitedReader) removeLimit() { limited.enabled = false }
 
-// Read fails with errHeaderTooLong once the limit is exhausted.
+// Read fails with errHeaderTooLong once the limit is exhausted, and with errNoHeaderMemory if
+// there is no memory for more.
 func (limited *limitedReader) Read(buffer []byte) (int, error) {
 	if !limited.enabled {
 		return limited.read(buffer)
@@ -50,15 +51,15 @@
 	if limited.remaining <= 0 {
 		return 0, errHeaderTooLong
 	}
-	count, err := limited.read(buffer[:min(len(buffer), limited.remaining)])
-	limited.remaining -= count
-	limited.uncharged -= count
-	if limited.uncharged < 0 {
-		limited.uncharged += bufferBytes
+	if limited.uncharged <= 0 {
 		if !limited.charge(headFactor * bufferBytes) {
-			return count, errNoHeaderMemory
+			return 0, errNoHeaderMemory
 		}
+		limited.uncharged += bufferBytes
 	}
+	count, err := limited.read(buffer[:min(len(buffer), limited.remaining)])
+	limited.remaining -= count
+	limited.uncharged -= count
 	return count, err
 }
 
@@ -67,7 +68,9 @@
 	limited.lag.Begin(time.Now())
 	count, err := limited.reader.Read(buffer)
 	limited.lag.End(time.Now(), 0)
-	limited.turn.Begin(count)
+	if err == nil {
+		limited.turn.Begin(count)
+	}
 	return count, err
 }
 
