--- a/proofs/hostile_test.go
+++ b/proofs/hostile_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -39,13 +41,26 @@
 	hostilePause = 1500 * time.Millisecond
 )
 
+// buildPlain builds the program without the race detector, which multiplies the memory of a
+// process.
+func buildPlain(t *testing.T) string {
+	t.Helper()
+	built := filepath.Join(t.TempDir(), "balsamproxy")
+	build := exec.CommandContext(t.Context(), "go", "build", "-o", built, "balsamproxy/cmd/balsamproxy")
+	build.Stderr = os.Stderr
+	assert.NilError(t, build.Run())
+	return built
+}
+
 // hostileFleet starts two daemons with limits; the targets are beside the second one.
 func hostileFleet(t *testing.T, adjust func(*daemon)) (*fleet, *service.Server) {
 	t.Helper()
 	fleet := newFleet(t, 2)
+	plain := buildPlain(t)
 	for _, daemon := range fleet.daemons {
 		daemon.settings.Limits = settings.Limits{MemoryMB: hostileMemoryMB}
 		daemon.writeSettings(t)
+		daemon.program = plain
 		adjust(daemon)
 	}
 	fleet.start()
