Connections: evictions are spaced, so that places do not change hands all at once

Its log line is `caller-evicted` with `no-room`.

Cause: 64 callers that began together could be evicted together, a second later. Those who waited replaced all of them within a moment, and for the rest of the next second no connection could be spared, while a new one waits for 100 ms.

Change: after an eviction, the next one for a new connection waits for the time after which a newcomer can be evicted, divided by the number of connections (16 ms with 64, 0.4 or 0.9 ms with 1,136). So a place becomes free at that interval, and those who wait get one each.

--- a/core/memory/holder_test.go
+++ b/core/memory/holder_test.go
@@ -104,3 +104,16 @@
 	assert.Equal(t, budget.Usage(), memory.Usage{})
 	assert.Equal(t, budget.OverheadUsage(), int64(0))
 }
+
+// TestPace guards against places that all change hands at once, after which none can be had
+// for a while.
+func TestPace(t *testing.T) {
+	var pace memory.Pace
+	now := time.Unix(0, 0)
+	assert.Assert(t, pace.Allows(now))
+	pace.Evicted(now, time.Second, 50)
+	assert.Assert(t, !pace.Allows(now.Add(19*time.Millisecond)))
+	assert.Equal(t, pace.Wait(now, 5*time.Millisecond), 5*time.Millisecond)
+	assert.Equal(t, pace.Wait(now.Add(18*time.Millisecond), 5*time.Millisecond), 2*time.Millisecond)
+	assert.Assert(t, pace.Allows(now.Add(20*time.Millisecond)))
+}
--- a/io/caller/connections.go
+++ b/io/caller/connections.go
@@ -37,6 +37,7 @@
 	// request in progress or is waiting for its first one.
 	states     map[net.Conn]http.ConnState
 	lastChange time.Time
+	pace       memory.Pace
 	// open are the connections below TLS.
 	open map[*conn]struct{}
 }
@@ -117,24 +118,27 @@
 func (connections *connections) add(accepted net.Conn) (*conn, error) {
 	added := &conn{Conn: accepted, connections: connections, ended: make(chan struct{})}
 	added.turn.Turns = &connections.turns
-	for end := time.Now().Add(acceptTimeout); ; time.Sleep(acceptPollInterval) {
-		if connections.tryAdd(added) {
+	for end := time.Now().Add(acceptTimeout); ; {
+		done, wait := connections.tryAdd(added)
+		if done {
 			return added, nil
 		}
 		if time.Now().After(end) {
 			connections.report("no-room", accepted)
 			return nil, errNoRoom
 		}
+		time.Sleep(wait)
 	}
 }
 
-// tryAdd adds a connection, if need be instead of the one whose caller lags most.
-func (connections *connections) tryAdd(added *conn) bool {
+// tryAdd adds a connection, if need be instead of another one. Otherwise it returns how long
+// to wait before the next try.
+func (connections *connections) tryAdd(added *conn) (bool, time.Duration) {
 	connections.mutex.Lock()
 	defer connections.mutex.Unlock()
 	now := time.Now()
 	if len(connections.open) >= connections.most && !connections.evictLocked(now) {
-		return false
+		return false, connections.pace.Wait(now, acceptPollInterval)
 	}
 	if connections.open == nil {
 		connections.open = map[*conn]struct{}{}
@@ -143,15 +147,25 @@
 	added.overhead = connections.memory.ChargeConnection(memory.ConnectionBytes)
 	connections.memory.Holders.Add(added)
 	connections.open[added] = struct{}{}
-	return true
+	return true, 0
 }
 
 // evictLocked closes the connection whose caller lags most or, if none lags, the one whose
 // body has been coming for the longest time. One that goes on meanwhile is passed over in
 // favour of the next one. It returns false if none can be spared.
 func (connections *connections) evictLocked(now time.Time) bool {
-	return connections.evictCostliestLocked(memory.Cost[*conn](memory.ShortOfConnections, now)) ||
-		connections.evictCostliestLocked(func(conn *conn) float64 { return conn.receivingFor(now) })
+	if !connections.pace.Allows(now) {
+		return false
+	}
+	if connections.evictCostliestLocked(memory.Cost[*conn](memory.ShortOfConnections, now)) {
+		connections.pace.Evicted(now, memory.MinLag, connections.most)
+		return true
+	}
+	evicted := connections.evictCostliestLocked(func(conn *conn) float64 { return conn.receivingFor(now) })
+	if evicted {
+		connections.pace.Evicted(now, longBody, connections.most)
+	}
+	return evicted
 }
 
 func (connections *connections) evictCostliestLocked(cost func(*conn) float64) bool {
--- a/io/http1/limit.go
+++ b/io/http1/limit.go
@@ -84,8 +84,9 @@
 
 // add adds a connection. It waits for room, and returns false if there is none.
 func (server *Server) add(connection *connection) bool {
-	for end := time.Now().Add(acceptTimeout); ; time.Sleep(acceptPollInterval) {
-		if server.tryAdd(connection) {
+	for end := time.Now().Add(acceptTimeout); ; {
+		added, wait := server.tryAdd(connection)
+		if added {
 			return true
 		}
 		if server.draining.Load() || time.Now().After(end) {
@@ -93,19 +94,22 @@
 			server.reportEviction(EvictedNew, connection.conn)
 			return false
 		}
+		time.Sleep(wait)
 	}
 }
 
-// tryAdd adds a connection, if need be instead of another one.
-func (server *Server) tryAdd(connection *connection) bool {
+// tryAdd adds a connection, if need be instead of another one. Otherwise it returns how long
+// to wait before the next try.
+func (server *Server) tryAdd(connection *connection) (bool, time.Duration) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
+	now := time.Now()
 	limit := server.MaxConnections
 	if limit <= 0 {
 		limit = defaultMaxConnections
 	}
-	if len(server.connections) >= limit && !server.evictLocked() {
-		return false
+	if len(server.connections) >= limit && !server.evictLocked(now) {
+		return false, server.pace.Wait(now, acceptPollInterval)
 	}
 	if server.connections == nil {
 		server.connections = connectionSet{}
@@ -114,27 +118,34 @@
 	if !server.closeIdleAt.IsZero() {
 		connection.closeIdle(server.closeIdleAt)
 	}
-	return true
+	return true, 0
 }
 
 // evictLocked closes the connection whose caller lags most or, if none lags, the one whose
 // request has been coming for the longest time. One that goes on meanwhile is passed over
 // in favour of the next one. It returns false if none can be spared.
-func (server *Server) evictLocked() bool {
-	now := time.Now()
+func (server *Server) evictLocked(now time.Time) bool {
+	if !server.pace.Allows(now) {
+		return false
+	}
 	evict := func(connection *connection) bool {
 		_, evicted := connection.Evict(memory.ShortOfConnections)
 		return evicted
 	}
 	if server.evictCostliestLocked(memory.Cost[*connection](memory.ShortOfConnections, now), evict) {
+		server.pace.Evicted(now, memory.MinLag, len(server.connections)+1)
 		return true
 	}
-	return server.evictCostliestLocked(
+	evicted := server.evictCostliestLocked(
 		func(connection *connection) float64 { return connection.receivingFor(now) },
 		func(connection *connection) bool {
 			_, evicted := connection.evictReceiving(memory.ShortOfConnections)
 			return evicted
 		})
+	if evicted {
+		server.pace.Evicted(now, longRequest, len(server.connections)+1)
+	}
+	return evicted
 }
 
 func (server *Server) evictCostliestLocked(cost func(*connection) float64, evict func(*connection) bool) bool {
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -136,6 +136,7 @@
 	serving       task.Group
 	inFlight      atomic.Int64
 	counts        counts
+	pace          memory.Pace
 	turns         decoding.Turns
 	defaultBodies sync.Once
 }
