memory: heads use a part of their own while they are received

Callers saw: 503 (no memory for requests) for an ordinary request while 600 callers sent the beginning of heads of 64 KiB each to a daemon of 64 MB.

Cause: heads could take 7/8 of the memory for connections and calls, also the part that connections are let in for later without a check, so heads and connections together used up the eighth that is reserved for requests that have come. Printed at the refusal in a trial copy: 8,994,816 bytes in use of 8,388,608, with 226 connections, 5,554,176 bytes at 24 KiB each; nobody lagged.

Why the fix works: heads have an eighth, connections three quarters at the most, so requests that have come keep an eighth whoever comes first. A shortage of heads evicts only connections that hold one.

--- a/core/memory/budget.go
+++ b/core/memory/budget.go
@@ -29,6 +29,8 @@
 	mutex    sync.Mutex
 	usage    Usage
 	overhead int64
+	// heads is the part of overhead for heads that are being received.
+	heads int64
 }
 
 // Usage is how much of a budget is in use for bodies, in bytes.
--- a/core/memory/charge.go
+++ b/core/memory/charge.go
@@ -46,8 +46,8 @@
 // Charge is memory that a connection or a call holds besides a Body. A nil Charge holds
 // nothing.
 type Charge struct {
-	budget           *Budget
-	overhead, window int64
+	budget                 *Budget
+	overhead, head, window int64
 }
 
 // Charge takes memory for a call: overhead for its buffers and stacks, and a window for
@@ -92,38 +92,50 @@
 	}
 	charge.budget.mutex.Lock()
 	defer charge.budget.mutex.Unlock()
-	if shortage == ShortOfOverhead {
-		return charge.overhead
+	switch shortage {
+	case ShortOfOverhead:
+		return charge.overhead + charge.head
+	case ShortOfHeads:
+		return charge.head
+	default:
+		return charge.window
 	}
-	return charge.window
 }
 
-// overheadReserveDivisor gives the part of the overhead that is reserved for calls, so that
-// requests that have come are not refused for those that still come.
-const overheadReserveDivisor = 8
-
-// GrowOverhead takes more overhead for a request that is being received, and returns what
-// the budget lacks, if anything.
-func (charge *Charge) GrowOverhead(bytes int64) Shortage {
+// headDivisor gives the part of the overhead that heads may use while they are received.
+// overheadReserveDivisor gives the part that is reserved for calls. Connections have the
+// rest at the most, so requests that have come are not refused for those that still come.
+const (
+	headDivisor            = 8
+	overheadReserveDivisor = 8
+)
+
+// GrowHead takes more memory for the head of a request that is being received, and returns
+// what the budget lacks, if anything.
+func (charge *Charge) GrowHead(bytes int64) Shortage {
 	budget := charge.budget
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
-	if budget.Overhead > 0 && budget.overhead+bytes > budget.Overhead-budget.Overhead/overheadReserveDivisor {
+	switch {
+	case budget.Overhead == 0:
+	case budget.heads+bytes > budget.Overhead/headDivisor:
+		return ShortOfHeads
+	case budget.overhead+bytes > budget.Overhead-budget.Overhead/overheadReserveDivisor:
 		return ShortOfOverhead
 	}
 	budget.overhead += bytes
-	charge.overhead += bytes
+	budget.heads += bytes
+	charge.head += bytes
 	return NoShortage
 }
 
-// ShrinkOverhead returns what exceeds a number of bytes of the overhead.
-func (charge *Charge) ShrinkOverhead(bytes int64) {
+// ReleaseHead returns the memory for a head.
+func (charge *Charge) ReleaseHead() {
 	charge.budget.mutex.Lock()
 	defer charge.budget.mutex.Unlock()
-	if bytes < charge.overhead {
-		charge.budget.overhead -= charge.overhead - bytes
-		charge.overhead = bytes
-	}
+	charge.budget.overhead -= charge.head
+	charge.budget.heads -= charge.head
+	charge.head = 0
 }
 
 // GrowWindow takes more memory for a body, and returns what the budget lacks, if anything.
@@ -158,6 +170,7 @@
 		return
 	}
 	charge.ShrinkWindow(0)
+	charge.ReleaseHead()
 	charge.budget.mutex.Lock()
 	defer charge.budget.mutex.Unlock()
 	charge.budget.overhead -= charge.overhead
--- a/core/memory/holder.go
+++ b/core/memory/holder.go
@@ -25,6 +25,8 @@
 	ShortOfBodies
 	// ShortOfOverhead means that the memory for connections and calls is exhausted.
 	ShortOfOverhead
+	// ShortOfHeads means that the part of it for heads is exhausted.
+	ShortOfHeads
 )
 
 // Holder holds a connection, memory of a budget, or both, for a peer that may be slow.
--- a/io/http1/limit.go
+++ b/io/http1/limit.go
@@ -168,7 +168,7 @@
 // chargeHead takes memory for a header that is being received, if need be from connections
 // that lag.
 func (connection *connection) chargeHead(bytes int64) bool {
-	return connection.server.reclaim(func() memory.Shortage { return connection.overhead.GrowOverhead(bytes) })
+	return connection.server.reclaim(func() memory.Shortage { return connection.overhead.GrowHead(bytes) })
 }
 
 // charge takes the memory that a request and its response need on their way. A request
--- a/io/http1/receive.go
+++ b/io/http1/receive.go
@@ -113,7 +113,7 @@
 	_ = connection.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	head, err := http.ReadRequest(connection.reader)
 	connection.limited.removeLimit()
-	connection.overhead.ShrinkOverhead(memory.ConnectionBytes)
+	connection.overhead.ReleaseHead()
 	switch {
 	case errors.Is(err, errNoHeaderMemory):
 		return nil, connection.refuseBody()
