Evictions: a connection is spared until its request can have come

Cause: a connection without a request lagged from the moment on at which it was accepted or its last request ended. If no other one lagged, the newest ones went, and so did those whose refusal was still on its way to a caller that sends.

Why the fix works: it lags from 50 ms on, which is less than the time for which a new connection waits for room. TestNewConnectionIsSpared and TestIdleLag check the rule.

--- a/core/memory/holder.go
+++ b/core/memory/holder.go
@@ -13,6 +13,18 @@
 // pause for less.
 const MinLag = 400 * time.Millisecond
 
+// MinIdle is the least time without a request after which a connection is given up. A caller
+// that has just connected, or that sends the next request at once, pauses for less.
+const MinIdle = 50 * time.Millisecond
+
+// IdleLag returns how far a connection lags that has been without a request since a time.
+func IdleLag(since, now time.Time) time.Duration {
+	if idle := now.Sub(since); idle >= MinIdle {
+		return idle
+	}
+	return 0
+}
+
 // Shortage is what there is too little of.
 type Shortage int
 
--- a/core/memory/holder_test.go
+++ b/core/memory/holder_test.go
@@ -112,6 +112,16 @@
 	assert.Equal(t, budget.OverheadUsage(), int64(0))
 }
 
+// TestIdleLag guards against closing a connection whose caller is about to send.
+func TestIdleLag(t *testing.T) {
+	since := time.Unix(0, 0)
+	for idle, want := range map[time.Duration]time.Duration{
+		-time.Second: 0, 0: 0, memory.MinIdle - 1: 0, memory.MinIdle: memory.MinIdle, time.Second: time.Second,
+	} {
+		assert.Equal(t, memory.IdleLag(since, since.Add(idle)), want)
+	}
+}
+
 // TestPace guards against places that all change hands at once, after which none can be had
 // for a while.
 func TestPace(t *testing.T) {
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -82,7 +82,7 @@
 }
 
 // Lag implements memory.Holder. Between requests, which includes the time in which a head is
-// received, a connection lags from the beginning on; in a request from memory.MinLag on.
+// received, a connection lags from memory.MinIdle on; in a request from memory.MinLag on.
 func (conn *conn) Lag(now time.Time) time.Duration {
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
@@ -90,7 +90,7 @@
 		return 0
 	}
 	if conn.state != http.StateActive {
-		return max(now.Sub(conn.since), 1)
+		return memory.IdleLag(conn.since, now)
 	}
 	lag := conn.writing.At(now)
 	if conn.receiving.Load() > 0 {
--- a/io/http1/connection_test.go
+++ b/io/http1/connection_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"balsamproxy/core/memory"
 )
 
 // TestCloseIdleOrBegin guards against losing a request that arrives while the
@@ -81,3 +83,21 @@
 type stubHandler struct{ Handler }
 
 func (stubHandler) Limits() Limits { return Limits{} }
+
+// TestNewConnectionIsSpared guards against giving up a connection before its first request,
+// or the next one, could come.
+func TestNewConnectionIsSpared(t *testing.T) {
+	serverConn, _ := pipe(t)
+	connection := newConnection(&Server{Handler: stubHandler{}}, serverConn)
+	checkSpared := func() {
+		t.Helper()
+		since := connection.idleSince
+		assert.Equal(t, connection.Lag(since.Add(memory.MinIdle-1)), time.Duration(0))
+		assert.Equal(t, connection.Lag(since.Add(memory.MinIdle)), memory.MinIdle)
+	}
+	checkSpared()
+	assert.Assert(t, connection.beginRequest())
+	assert.Equal(t, connection.Lag(time.Now().Add(time.Second)), time.Duration(0))
+	connection.endRequest()
+	checkSpared()
+}
--- a/io/http1/limit.go
+++ b/io/http1/limit.go
@@ -200,8 +200,8 @@
 
 var _ memory.Holder = (*connection)(nil)
 
-// Lag implements memory.Holder. An idle connection lags from the end of its last request
-// on, one that is in use from memory.MinLag on.
+// Lag implements memory.Holder. An idle connection lags from memory.MinIdle on, one that is
+// in use from memory.MinLag on.
 func (connection *connection) Lag(now time.Time) time.Duration {
 	if connection.closed.Load() {
 		return 0
@@ -213,14 +213,14 @@
 	return connection.idleFor(now)
 }
 
-// idleFor returns how long no request has been in flight, zero if one is.
+// idleFor returns how far the connection lags without a request, zero if one is in flight.
 func (connection *connection) idleFor(now time.Time) time.Duration {
 	connection.idleMutex.Lock()
 	defer connection.idleMutex.Unlock()
 	if connection.inFlight.Load() != 0 {
 		return 0
 	}
-	return max(now.Sub(connection.idleSince), 1)
+	return memory.IdleLag(connection.idleSince, now)
 }
 
 // receivingLag returns how far the request that is being received lags, zero if there is
@@ -271,8 +271,10 @@
 		return connection.evictAnswer()
 	case connection.receivingLag(now) >= memory.MinLag:
 		return connection.evictReceiving(shortage)
-	default:
+	case connection.idleFor(now) > 0:
 		return connection.evictIdle()
+	default:
+		return nil, false
 	}
 }
 
