memory: connections and calls may use what bodies leave

The default met callers within the limits, which it must not.

Why the fix works: what exceeds that part is taken from the room that bodies leave, without the reserve for small ones, so the sum stays bounded as before.

TestOverheadUsesRoomOfBodies fails without it. TestCharges fills the room of bodies first, so that it checks the same bounds.

--- a/core/memory/budget.go
+++ b/core/memory/budget.go
@@ -18,8 +18,8 @@
 	Requests int64
 	// Reserve is the part of Requests that only small bodies may use.
 	Reserve int64
-	// Overhead is the memory for connections and calls besides bodies; zero means that
-	// it is not bounded.
+	// Overhead is the memory for connections and calls besides bodies, which may use what
+	// bodies leave of Bytes, too. Zero means that it is not bounded.
 	Overhead int64
 	// Holders are those that may be evicted when there is too little memory. Requesting
 	// and Responding are those who wait for that, for requests and for responses.
@@ -62,13 +62,21 @@
 func (budget *Budget) Grow(held, more int64) bool {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
-	if held+more > budget.Bytes-budget.Reserve-budget.usage.Total-more {
+	if held+more > budget.Bytes-budget.Reserve-budget.totalLocked()-more {
 		return false
 	}
 	budget.usage.Total += more
 	return true
 }
 
+// totalLocked returns how much of Bytes is in use, with the overhead that exceeds its own part.
+func (budget *Budget) totalLocked() int64 {
+	if budget.Overhead == 0 {
+		return budget.usage.Total
+	}
+	return budget.usage.Total + max(0, budget.overhead-budget.Overhead)
+}
+
 // Attainable reports whether the body of a response that has held bytes could have more if
 // nothing else were held.
 func (budget *Budget) Attainable(held, more int64) bool {
@@ -92,7 +100,7 @@
 // fitsLocked reports whether the body of a request that has held bytes can have more.
 func (budget *Budget) fitsLocked(held, more int64) bool {
 	usage := budget.usage
-	if usage.Requests+more > budget.Requests || usage.Total+more > budget.Bytes {
+	if usage.Requests+more > budget.Requests || budget.totalLocked()+more > budget.Bytes {
 		return false
 	}
 	return usage.Large+largeBytes(held+more)-largeBytes(held) <= budget.Requests-budget.Reserve || held+more <= SmallBytes
--- a/core/memory/charge.go
+++ b/core/memory/charge.go
@@ -55,12 +55,12 @@
 func (budget *Budget) Charge(overhead, window int64) (*Charge, Shortage) {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
-	if budget.Overhead > 0 && budget.overhead+overhead > budget.Overhead {
-		return nil, ShortOfOverhead
-	}
-	if window > 0 && budget.usage.Total+window > budget.Bytes-budget.Reserve {
+	if window > 0 && budget.totalLocked()+window > budget.Bytes-budget.Reserve {
 		return nil, ShortOfBodies
 	}
+	if !budget.fitsOverheadLocked(overhead, window) {
+		return nil, ShortOfOverhead
+	}
 	return budget.chargeLocked(overhead, window), NoShortage
 }
 
@@ -72,6 +72,17 @@
 	return budget.chargeLocked(overhead, 0)
 }
 
+// fitsOverheadLocked reports whether there is room for more overhead beside a new window.
+// What exceeds the memory for it uses what bodies leave, since callers within the limits may
+// have many small requests in flight, or a few large ones.
+func (budget *Budget) fitsOverheadLocked(overhead, window int64) bool {
+	if budget.Overhead == 0 {
+		return true
+	}
+	excess := budget.overhead + overhead - budget.Overhead
+	return excess <= 0 || budget.usage.Total+window+excess <= budget.Bytes-budget.Reserve
+}
+
 func (budget *Budget) chargeLocked(overhead, window int64) *Charge {
 	budget.overhead += overhead
 	budget.usage.Total += window
@@ -120,7 +131,7 @@
 	case budget.Overhead == 0:
 	case budget.heads+bytes > budget.Overhead/headDivisor:
 		return ShortOfHeads
-	case budget.overhead+bytes > budget.Overhead-budget.Overhead/overheadReserveDivisor:
+	case !budget.fitsOverheadLocked(bytes+budget.Overhead/overheadReserveDivisor, 0):
 		return ShortOfOverhead
 	}
 	budget.overhead += bytes
@@ -143,7 +154,7 @@
 	budget := charge.budget
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
-	if budget.usage.Total+bytes > budget.Bytes-budget.Reserve {
+	if budget.totalLocked()+bytes > budget.Bytes-budget.Reserve {
 		return ShortOfBodies
 	}
 	budget.usage.Total += bytes
--- a/core/memory/holder_test.go
+++ b/core/memory/holder_test.go
@@ -85,13 +85,15 @@
 func TestCharges(t *testing.T) {
 	budget := memory.NewBudget(1<<20, 1<<20)
 	budget.Overhead = 800
+	others := budget.ChargeConnection(300)
+	// Bodies leave a window and no room for overhead.
+	bodies, shortage := budget.Charge(0, budget.Bytes-budget.Reserve-(64<<10))
+	assert.Equal(t, shortage, memory.NoShortage)
 	connection := budget.ChargeConnection(300)
 	assert.Equal(t, connection.GrowHead(100), memory.NoShortage)
 	assert.Equal(t, connection.GrowHead(1), memory.ShortOfHeads)
 	assert.Equal(t, connection.Held(memory.ShortOfHeads), int64(100))
 	assert.Equal(t, connection.Held(memory.ShortOfOverhead), int64(400))
-	// The others come after the head.
-	others := budget.ChargeConnection(300)
 	assert.Equal(t, others.Held(memory.ShortOfHeads), int64(0))
 	charge, shortage := budget.Charge(100, 64<<10)
 	assert.Equal(t, shortage, memory.NoShortage)
@@ -102,6 +104,7 @@
 	_, shortage = budget.Charge(1, 1<<20)
 	assert.Equal(t, shortage, memory.ShortOfBodies)
 	assert.Equal(t, charge.GrowWindow(1<<20), memory.ShortOfBodies)
+	bodies.Release()
 	charge.ShrinkWindow(10)
 	assert.Equal(t, budget.Usage(), memory.Usage{Total: 10})
 	charge.Release()
@@ -112,6 +115,29 @@
 	assert.Equal(t, budget.OverheadUsage(), int64(0))
 }
 
+// TestOverheadUsesRoomOfBodies guards against requests that are refused, or connections that
+// are given up, while there is enough memory.
+func TestOverheadUsesRoomOfBodies(t *testing.T) {
+	budget := memory.NewBudget(1<<20, 1<<20)
+	budget.Overhead = 800
+	const room = 1<<20 - 1<<16
+	assert.Equal(t, budget.Reserve, int64(1<<16))
+	_, shortage := budget.Charge(801, room)
+	assert.Equal(t, shortage, memory.ShortOfOverhead)
+	charge, shortage := budget.Charge(800+room-100, 100)
+	assert.Equal(t, shortage, memory.NoShortage)
+	_, shortage = budget.Charge(1, 0)
+	assert.Equal(t, shortage, memory.ShortOfOverhead)
+	_, shortage = budget.Charge(0, 1)
+	assert.Equal(t, shortage, memory.ShortOfBodies)
+	assert.Equal(t, charge.GrowWindow(1), memory.ShortOfBodies)
+	assert.Assert(t, !budget.Grow(0, 1))
+	assert.Assert(t, budget.Fits(1<<16))
+	assert.Assert(t, !budget.Fits(1<<16+1))
+	charge.Release()
+	assert.Assert(t, budget.Fits(room))
+}
+
 // TestIdleLag guards against closing a connection whose caller is about to send.
 func TestIdleLag(t *testing.T) {
 	since := time.Unix(0, 0)
