--- a/cmd/balsamproxy/main.go
+++ b/cmd/balsamproxy/main.go
@@ -126,8 +126,8 @@
 memory-mb: memory of the process in MB (default none)
 body-memory-mb: for bodies (default 7/16 of memory-mb, or 64)
 connection-memory-mb: for connections, and for requests and calls in flight
-besides their bodies (default 1/8 of memory-mb, or 192); an eighth of it for
-heads while they are received
+besides their bodies (default 1/8 of memory-mb, or 192); beyond it they use
+what bodies leave; an eighth of it for heads while they are received
 caller-connections: open connections of callers (default 4 for each MB of
 memory-mb, or 4096); no more than half of the open files, nor than fit into
 connection-memory-mb
