Review: a less urgent tenant gets next to nothing in a burst

Cause: calls of a higher priority go before all others, at the entry and in the queue of a target, and leave no share to these.

--- a/review/harness3/client.go
+++ b/review/harness3/client.go
@@ -54,12 +54,15 @@
 	end := time.Now().Add(load.deadline)
 	first, wait := load.attempt(ctx, client, end)
 	left := time.Until(end)
+	first.served = first.status == http.StatusOK
 	if promisesNotRun(first.status) && left > 0 {
 		select {
 		case <-time.After(min(wait, left/3)):
 		case <-ctx.Done():
 		}
 		second, _ := load.attempt(ctx, client, end)
+		second.retry = true
+		first.served = second.status == http.StatusOK
 		load.fleet.record.answered(second)
 	}
 	load.fleet.record.answered(first)
--- a/review/harness3/fleet.go
+++ b/review/harness3/fleet.go
@@ -33,6 +33,28 @@
 	exited  chan struct{}
 }
 
+// processes are all that were started.
+type processes struct {
+	mutex sync.Mutex
+	all   []*os.Process
+}
+
+var started processes
+
+func (processes *processes) add(process *os.Process) {
+	processes.mutex.Lock()
+	defer processes.mutex.Unlock()
+	processes.all = append(processes.all, process)
+}
+
+// killAll kills those that still run. It keeps the lock, so that none is started after it.
+func (processes *processes) killAll() {
+	processes.mutex.Lock()
+	for _, process := range processes.all {
+		_ = process.Kill()
+	}
+}
+
 // fleet is a small deployment.
 type fleet struct {
 	directory string
@@ -121,6 +143,7 @@
 	if err := process.Start(); err != nil {
 		return err
 	}
+	started.add(process.Process)
 	exited := make(chan struct{})
 	go func() {
 		_ = process.Wait()
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -6,7 +6,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -20,10 +22,20 @@
 // cases maps the name of a case to its script, which reports whether the rule held.
 var cases = map[string]func(ctx context.Context, record *record, trouble bool) (bool, error){
 	"leaving": runLeaving,
+	"burst":   runBurst,
 }
 
 func main() { os.Exit(play()) }
 
+// endOnSignal ends the daemons if the script itself is ended.
+func endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	<-signals
+	started.killAll()
+	os.Exit(exitNotRun)
+}
+
 func play() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness3 CASE FOLDER")
@@ -31,6 +43,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), maxTime)
 	defer cancel()
+	go endOnSignal()
 	record := &record{begin: time.Now()}
 	held, err := cases[os.Args[1]](ctx, record, os.Getenv("TROUBLE") != "0")
 	if err != nil {
--- a/review/harness3/record.go
+++ b/review/harness3/record.go
@@ -14,6 +14,8 @@
 	at, answered              time.Time
 	status                    int
 	stamp                     string
+	// retry is set for a second attempt, served if an attempt was answered with success.
+	retry, served bool
 }
 
 // run is one request that a server began to run.
--- a/review/harness3/server.go
+++ b/review/harness3/server.go
@@ -37,7 +37,7 @@
 	}
 	created := &server{
 		id: id, service: serviceName, address: listener.Addr().String(), zone: daemon.address("data-centre"),
-		daemon: daemon, record: fleet.record, work: work, slots: 108, born: time.Now().UnixMilli(),
+		daemon: daemon, record: fleet.record, work: work, slots: 8, born: time.Now().UnixMilli(),
 	}
 	created.state.Store("ready")
 	created.http = &http.Server{Handler: created, ReadHeaderTimeout: time.Second, IdleTimeout: 10 * time.Second}
--- a/review/harness3/venues.go
+++ b/review/harness3/venues.go
@@ -23,8 +23,8 @@
 // document returns the operator's configuration.
 func document(version int) string {
 	tenants := []string{}
-	for _, name := range tenantNames {
-		tenants = append(tenants, fmt.Sprintf(`[%q, ["key-of-%s"], %d, %d, null]`, name, name, tenantRate, tenantBurst))
+	for rank, name := range tenantNames {
+		tenants = append(tenants, fmt.Sprintf(`[%q, ["key-of-%s"], %d, %d, %d]`, name, name, tenantRate, tenantBurst, rank))
 	}
 	return fmt.Sprintf(`{"version": "%08x",
 "routes": {"columns": ["name", "host", "prefix", "service", "type", "timeout", "targetLatency", "priority", "maxAttempts", "public"],
