Review: pipelined requests past the timeout of their route

Cause: only GET and HEAD start before the responses in front of them on a connection, so idempotent requests of other methods run one after another and have no deadline of their own while they wait.

--- a/review/harness3/burst.go
+++ b/review/harness3/burst.go
@@ -23,7 +23,7 @@
 	}
 	defer fleet.stop()
 	for _, server := range fleet.servers {
-		server.work = 100 * time.Millisecond
+		server.work.Store(int64(100 * time.Millisecond))
 	}
 	// 235 and 50 requests a second of all machines.
 	stopUsual := []func(){
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -21,8 +21,9 @@
 
 // cases maps the name of a case to its script, which reports whether the rule held.
 var cases = map[string]func(ctx context.Context, record *record, trouble bool) (bool, error){
-	"leaving": runLeaving,
-	"burst":   runBurst,
+	"leaving":  runLeaving,
+	"burst":    runBurst,
+	"pipeline": runPipeline,
 }
 
 func main() { os.Exit(play()) }
--- a/review/harness3/server.go
+++ b/review/harness3/server.go
@@ -21,7 +21,7 @@
 	zone        string
 	daemon      *daemon
 	record      *record
-	work        time.Duration
+	work        atomic.Int64
 	slots       int
 	born        int64
 	sequence    atomic.Int64
@@ -37,8 +37,9 @@
 	}
 	created := &server{
 		id: id, service: serviceName, address: listener.Addr().String(), zone: daemon.address("data-centre"),
-		daemon: daemon, record: fleet.record, work: work, slots: 8, born: time.Now().UnixMilli(),
+		daemon: daemon, record: fleet.record, slots: 8, born: time.Now().UnixMilli(),
 	}
+	created.work.Store(int64(work))
 	created.state.Store("ready")
 	created.http = &http.Server{Handler: created, ReadHeaderTimeout: time.Second, IdleTimeout: 10 * time.Second}
 	go func() { _ = created.http.Serve(listener) }()
@@ -119,7 +120,7 @@
 	_, _ = io.Copy(io.Discard, request.Body)
 	server.record.ran(server, id, request.Header.Get(words.Tenant), time.Now())
 	select {
-	case <-time.After(server.work):
+	case <-time.After(time.Duration(server.work.Load())):
 	case <-request.Context().Done():
 		return
 	}
--- a/review/harness3/venues.go
+++ b/review/harness3/venues.go
@@ -28,7 +28,8 @@
 	}
 	return fmt.Sprintf(`{"version": "%08x",
 "routes": {"columns": ["name", "host", "prefix", "service", "type", "timeout", "targetLatency", "priority", "maxAttempts", "public"],
-"rows": [["confirm", "venues.example", "/confirm/", "venues", "non_idempotent", "2000ms", "1000ms", 0, 2, false]]},
+"rows": [["confirm", "venues.example", "/confirm/", "venues", "non_idempotent", "2000ms", "1000ms", 0, 2, false],
+["mark", "venues.example", "/mark/", "venues", "idempotent", "5000ms", "1500ms", 2, 2, false]]},
 "services": {"columns": ["name", "healthPath", "maxConnections"], "rows": [["venues", "/healthz", 748]]},
 "tenants": {"columns": ["name", "apiKeys", %q, "burst", "priority"], "rows": [%s]},
 "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeout": "3000ms", "idleTimeout": "15s"}}`,
