--- a/core/announced/recall.go
+++ b/core/announced/recall.go
@@ -16,6 +16,17 @@
 	Records []Record
 }
 
+// Knowing returns how many peers had a link to the earlier run.
+func Knowing(recollections []Recollection) int {
+	knowing := 0
+	for _, recollection := range recollections {
+		if recollection.Known {
+			knowing++
+		}
+	}
+	return knowing
+}
+
 // Confirmed returns the targets of stored records that are still believed to accept
 // calls. It answers daemons that restart beside targets that go on serving, or that left
 // while the store did not take the record: the stored state is believed only if no peer
--- a/io/mesh/custody.go
+++ b/io/mesh/custody.go
@@ -225,6 +225,10 @@
 		return
 	}
 	recollection.confirmed = true
-	recollection.daemon.local.Confirm(announced.Confirmed(recollection.stored, recollection.answers))
+	confirmed := announced.Confirmed(recollection.stored, recollection.answers)
+	recollection.daemon.log.Info().Str("event", "targets-recollected").Int("stored", len(recollection.stored)).
+		Int("confirmed", len(confirmed)).Int("peers", len(recollection.answers)).
+		Int("peers-that-know", announced.Knowing(recollection.answers)).Send()
+	recollection.daemon.local.Confirm(confirmed)
 	recollection.answers = nil
 }
