target: publish the announcement that ends the wait of a restored target

Cause: an announcement is published if the published state of the target has changed. That of a restored target which waits for a confirmation says what the record in the store says, so nothing had changed, and peers did not learn that it accepts calls now. On the present code this concerns targets that a peer contradicts.

Change: such an announcement is published. It is not recorded again.

Evidence: TestRestoredTargetIsPublished failed before (0 publications).

--- a/io/target/local.go
+++ b/io/target/local.go
@@ -84,6 +84,7 @@
 		announcement.Target.State = balsamproxy.TargetCold
 	}
 	local.mutex.Lock()
+	before, _ := local.table.State(announcement.Target.ID)
 	changed, err := local.table.Announce(announcement, now)
 	if err == nil {
 		local.updateSlotsLocked(announcement.Target.ID, now)
@@ -98,11 +99,14 @@
 			Int64("born", announcement.Born).Int64("sequence", announcement.Sequence).Err(err).Send()
 		return nil
 	}
-	if changed {
+	if changed || before.Unconfirmed {
 		local.Log.Info().Str("event", "target-announced").Str("target", string(announcement.Target.ID)).
 			Str("state", string(announcement.Target.State)).Int64("born", announcement.Born).
 			Int64("sequence", announcement.Sequence).Int("slots", announcement.Target.Slots).Send()
+		// Peers learn only now that a target of the earlier run accepts calls again.
 		local.Changed()
+	}
+	if changed {
 		local.Record()
 	}
 	return nil
