mesh: the stored record of a target is believed only if a peer that knows it confirms it

Cause: during an outage only peers keep an acknowledged leaving. A start believed the record in the store if no peer contradicted it, and peers that were killed too know nothing. targets-recollected on the former code: stored 1, confirmed 1, peers-that-know 0.

Change: the record is believed if a peer that had a link to the earlier run confirms it; up to 16 peers are asked while none knows the run. If none does, the target gets calls from its next announcement on.

Ruled out: asking the target's health page, which may be wrong either way (that of the case is); a mark in the store, which an outage hides as well.

--- a/core/announced/recall.go
+++ b/core/announced/recall.go
@@ -27,11 +27,25 @@
 	return knowing
 }
 
+// RecollectionSuffices reports whether a daemon that starts need not ask more peers: at
+// least wanted have answered and one of them knows the earlier run, or at least most have
+// answered. Others may know it if some daemons were started again at the same time.
+func RecollectionSuffices(recollections []Recollection, wanted, most int) bool {
+	answered := len(recollections)
+	return answered >= most || answered >= wanted && Knowing(recollections) > 0
+}
+
 // Confirmed returns the targets of stored records that are still believed to accept
 // calls. It answers daemons that restart beside targets that go on serving, or that left
-// while the store did not take the record: the stored state is believed only if no peer
-// has heard of a later one.
+// while the store did not take the record: the stored state is believed only if a peer
+// that heard of the earlier run confirms it, and no peer has heard of a later state.
+// Without such a peer, all daemons may have been killed in an outage of the store, and
+// with them the only copies of a leaving that was acknowledged. Then only the target
+// itself can tell, by its next announcement.
 func Confirmed(stored []Record, recollections []Recollection) []balsamproxy.TargetID {
+	if Knowing(recollections) == 0 {
+		return nil
+	}
 	for _, recollection := range recollections {
 		stored = MergeRecords(stored, recollection.Records)
 	}
--- a/io/mesh/custody.go
+++ b/io/mesh/custody.go
@@ -28,8 +28,9 @@
 	custodyTimeout = 300 * time.Millisecond
 	// recollectionsWanted is how many peers a daemon that starts asks for what they
 	// remember before it believes the records in the store. More are asked if they say
-	// that they keep a record.
+	// that they keep a record, and up to maxRecollections while none knows the earlier run.
 	recollectionsWanted = 2
+	maxRecollections    = 16
 	// maxRecollecting bounds the peers that wait to be asked.
 	maxRecollecting = 64
 )
@@ -181,7 +182,7 @@
 }
 
 // run asks the peers that become linked until ctx ends. When enough have answered, the
-// restored targets that none of them contradicts receive calls.
+// restored targets that one of them confirms and none contradicts receive calls.
 func (recollection *recollection) run(ctx context.Context) error {
 	daemon := recollection.daemon
 	for {
@@ -220,8 +221,9 @@
 }
 
 func (recollection *recollection) confirm() {
-	wanted := min(recollectionsWanted, recollection.daemon.view.otherMembers())
-	if recollection.confirmed || !recollection.hasRead || len(recollection.answers) < max(wanted, 1) {
+	others := max(recollection.daemon.view.otherMembers(), 1)
+	suffices := announced.RecollectionSuffices(recollection.answers, min(recollectionsWanted, others), min(maxRecollections, others))
+	if recollection.confirmed || !recollection.hasRead || !suffices {
 		return
 	}
 	recollection.confirmed = true
