http1: requests behind others on a connection keep their own timeouts

A caller that left was not noticed.

Cause: only GET and HEAD could begin behind others. For any other request the reader of the connection waited for the answer in front and read nothing meanwhile, so that timeouts began late. It also stopped after 16 requests.

Change: the reader goes on; each request gets a Turn, and the entry, which knows the route, waits for it with the request's own deadline. Idempotent requests begin after those in front have begun, others after they have been answered. 16 run at a time; up to 512 are read ahead, fewer when half of the overhead memory is used.

--- a/core/memory/charge.go
+++ b/core/memory/charge.go
@@ -96,6 +96,14 @@
 	return budget.overhead
 }
 
+// OverheadHalfUsed reports whether half of the memory for connections and calls is in use. It
+// never is if that memory is not bounded.
+func (budget *Budget) OverheadHalfUsed() bool {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	return budget.Overhead > 0 && budget.overhead >= budget.Overhead/2
+}
+
 // Held returns how many bytes of what is short the charge holds.
 func (charge *Charge) Held(shortage Shortage) int64 {
 	if charge == nil {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -91,6 +91,7 @@
 	{"shape", (*transaction).validate},
 	{"route", (*transaction).findRoute},
 	{"account", (*transaction).authenticate},
+	{"turn", (*transaction).awaitTurn},
 	{"stop", (*transaction).checkStop},
 	{"evidence", (*transaction).checkEvidence},
 	{"throttle", (*transaction).checkThrottle},
@@ -249,6 +250,16 @@
 	return nil
 }
 
+// awaitTurn waits for the requests in front on the caller's connection. Only what may run
+// more than once runs beside them.
+func (transaction *transaction) awaitTurn(ctx context.Context) *balsamproxy.Refusal {
+	refusal := transaction.request.Turn.Wait(ctx, transaction.route.Idempotent)
+	if refusal != nil && isRecalled(ctx) {
+		return recalledRefusal()
+	}
+	return refusal
+}
+
 // checkEvidence refuses the request if its key may have been revoked since the
 // configuration was last confirmed.
 func (transaction *transaction) checkEvidence(context.Context) *balsamproxy.Refusal {
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -5,8 +5,8 @@
 	"context"
 	"errors"
 	"io"
+	"iter"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -25,8 +25,11 @@
 	limited *limitedReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
-	// pending holds the requests in flight in order of arrival.
-	pending  chan *pending
+	// first receives the first request. Each request has a channel that receives the next
+	// one, so that the reader never waits for the writer. It is closed after the last one.
+	first chan *pending
+	// running holds an element for each request that runs.
+	running  chan struct{}
 	inFlight atomic.Int64
 	// receiving tells whether a request is being received.
 	receiving atomic.Int32
@@ -63,8 +66,11 @@
 	request *Request
 	// charge is the memory for the request and its response on their way.
 	charge *memory.Charge
-	// response receives the response.
+	// turn is the place of the request among those of the connection.
+	turn *Turn
+	// response receives the response, and next the request behind this one.
 	response chan Response
+	next     chan *pending
 	// closeAfter reports whether the connection closes after the response.
 	closeAfter bool
 	// done is closed when the response has been written or dropped.
@@ -75,7 +81,8 @@
 	connection := &connection{
 		server:  server,
 		conn:    conn,
-		pending: make(chan *pending, pipelineMax),
+		first:   make(chan *pending, 1),
+		running: make(chan struct{}, runningMax),
 
 		idleSince: time.Now(),
 		ended:     make(chan struct{}),
@@ -114,7 +121,6 @@
 	if !errors.Is(err, errClosing) {
 		cancel()
 	}
-	close(connection.pending)
 	writeErr := <-written
 	if writeErr == nil && errors.Is(err, errClosing) {
 		connection.linger()
@@ -124,9 +130,12 @@
 }
 
 // readRequests reads and starts requests until the caller disconnects or the
-// connection is closing.
+// connection is closing. It reads on while requests run or wait, so that the timeout of each
+// one counts from its arrival, and a caller that leaves is noticed.
 func (connection *connection) readRequests(ctx context.Context) error {
-	var previous *pending
+	var last *pending
+	queue := connection.first
+	defer func() { close(queue) }()
 	for {
 		if err := connection.awaitRequest(); err != nil {
 			return err
@@ -139,11 +148,8 @@
 		connection.reading.Reset(now)
 		connection.receivingSince.Store(now.UnixNano())
 		connection.receiving.Store(receiving)
-		next := connection.receive()
-		if next.request != nil && previous != nil && !mayPipeline(next.request.Head) {
-			<-previous.done
-		}
-		if next.request != nil && !connection.charge(next, previous) {
+		next := connection.receive(last)
+		if next.request != nil && !connection.charge(next, last) {
 			next.request.Body.Release()
 			connection.refuse(next, connection.refuseBody())
 		}
@@ -153,8 +159,8 @@
 		if connection.server.draining.Load() {
 			next.closeAfter = true
 		}
-		connection.pending <- next
-		previous = next
+		queue <- next
+		queue, last = next.next, next
 		if next.closeAfter {
 			return connection.discard()
 		}
@@ -279,18 +285,13 @@
 	return io.ErrUnexpectedEOF
 }
 
-// mayPipeline reports whether a request may start before the responses to earlier
-// requests on its connection have been written.
-func mayPipeline(request *http.Request) bool {
-	return request.Method == http.MethodGet || request.Method == http.MethodHead
-}
-
 // start runs the handler in a new goroutine.
 func (connection *connection) start(ctx context.Context, next *pending) {
 	task.Start(ctx, func(ctx context.Context) error {
 		response := connection.server.Handler.Handle(ctx, next.request)
 		next.request.Body.Release()
 		next.charge.ShrinkWindow(windowOf(response))
+		next.turn.end()
 		next.response <- response
 		return nil
 	})
@@ -311,7 +312,7 @@
 // After a failed write or a final response it drops the remaining ones.
 func (connection *connection) writeResponses(ctx context.Context, cancel func()) error {
 	var writeErr error
-	for next := range connection.pending {
+	for next := range requestsFrom(connection.first) {
 		response := <-next.response
 		switch {
 		case writeErr == nil && ctx.Err() == nil && !connection.closing.Load():
@@ -335,6 +336,16 @@
 	return writeErr
 }
 
+// requestsFrom yields the requests of a connection in order, from the one that a channel
+// receives on.
+func requestsFrom(queue <-chan *pending) iter.Seq[*pending] {
+	return func(yield func(*pending) bool) {
+		for next, found := <-queue; found && yield(next); next, found = <-next.next {
+			continue
+		}
+	}
+}
+
 // stopReading makes the reader accept no further request.
 func (connection *connection) stopReading() {
 	connection.closing.Store(true)
--- a/io/http1/limit.go
+++ b/io/http1/limit.go
@@ -171,18 +171,18 @@
 	return connection.server.reclaim(func() memory.Shortage { return connection.overhead.GrowHead(bytes) })
 }
 
-// charge takes the memory that a request and its response need on their way. A request
-// behind others waits until they have ended, if need be; the first one may take it from
-// connections that lag. It returns false if there is too little.
-func (connection *connection) charge(next, previous *pending) bool {
+// charge takes the memory that a request needs besides its bodies. A request behind others
+// waits until they have been answered, if need be; the first one may take it from connections
+// that lag. It returns false if there is too little.
+func (connection *connection) charge(next, last *pending) bool {
 	budget := connection.server.budget()
 	enough := func() memory.Shortage {
-		charge, shortage := budget.Charge(requestBytes, memory.WindowBytes)
+		charge, shortage := budget.Charge(requestBytes, 0)
 		next.charge = charge
 		return shortage
 	}
-	if previous != nil && (!budget.Requesting.Empty() || enough() != memory.NoShortage) {
-		<-previous.done
+	if last != nil && (connection.mayNotQueue() || !budget.Requesting.Empty() || enough() != memory.NoShortage) {
+		<-last.done
 	}
 	if next.charge == nil && !connection.server.reclaim(enough) {
 		return false
@@ -191,6 +191,13 @@
 	return true
 }
 
+// mayNotQueue reports whether too many requests of the connection are in flight to read
+// another one. Long queues leave half of the memory for requests to other callers.
+func (connection *connection) mayNotQueue() bool {
+	inFlight := connection.inFlight.Load()
+	return inFlight > pipelineMax || inFlight > runningMax && connection.server.budget().OverheadHalfUsed()
+}
+
 // receiving is the state of the request that a connection reads.
 const (
 	notReceiving int32 = iota
--- a/io/http1/receive.go
+++ b/io/http1/receive.go
@@ -75,10 +75,12 @@
 }
 
 // receive reads one request with its body. For a refused request it returns a
-// pending without request that already has its response.
-func (connection *connection) receive() *pending {
+// pending without request that already has its response. The last request is the one in
+// front, or nil.
+func (connection *connection) receive(last *pending) *pending {
 	limits := connection.server.Handler.Limits().withDefaults()
-	next := &pending{response: make(chan Response, 1), done: make(chan struct{})}
+	next := &pending{response: make(chan Response, 1), next: make(chan *pending, 1), done: make(chan struct{})}
+	next.turn = &Turn{connection: connection, own: next, ahead: last, passed: make(chan struct{})}
 	head, refusal := connection.receiveHead(limits)
 	body := connection.server.budget().NewBody()
 	if refusal == nil {
@@ -97,7 +99,7 @@
 		return next
 	}
 	next.closeAfter = head.Close
-	next.request = &Request{Head: head, Body: body, ReadAt: time.Now()}
+	next.request = &Request{Head: head, Body: body, ReadAt: time.Now(), Turn: next.turn}
 	return next
 }
 
@@ -105,6 +107,7 @@
 func (connection *connection) refuse(next *pending, refusal *balsamproxy.Refusal) {
 	next.request = nil
 	next.closeAfter = true
+	next.turn.pass()
 	next.response <- connection.server.Handler.HandleMalformed(refusal)
 }
 
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -57,9 +57,12 @@
 }
 
 const (
-	// pipelineMax is the capacity of the queue of requests in flight on one
-	// connection.
-	pipelineMax = 16
+	// runningMax is how many requests of one connection may run at the same time. Those
+	// behind them wait.
+	runningMax = 16
+	// pipelineMax is how many requests of one connection are read before the first of
+	// them has been answered.
+	pipelineMax = 512
 	// lingerTimeout is how long a connection is read after its last response, so
 	// that late input does not reset it before the caller has the response.
 	lingerTimeout = 150 * time.Millisecond
@@ -89,6 +92,8 @@
 	Body *memory.Body
 	// ReadAt is when the request was read completely.
 	ReadAt time.Time
+	// Turn is the place of the request behind others on its connection.
+	Turn *Turn
 }
 
 // Response is the response to one request.
@@ -105,7 +110,8 @@
 // Handler handles requests.
 type Handler interface {
 	// Handle processes one request. The context is cancelled when the caller
-	// disconnects.
+	// disconnects. It is called as soon as the request has been read, so it must wait for
+	// the request's Turn before it acts on it.
 	Handle(ctx context.Context, request *Request) Response
 	// HandleMalformed returns the response to input that was refused before it
 	// became a Request.
