target: a reset that the write of an upload saw does not look like the end of an answer

Callers saw: a target answered a long upload at once with a 200 without a length, sent a part and reset the connection during the upload; the part came as a complete answer.

Cause: the kernel reports a reset once. If the write of the upload got it, the read of the answer saw the end of the connection, which is the end of a body without a length. Both programs took it as complete. The reverse too: net/http marks an error of the connection while a body is copied like one of the body, so that good answers were given up and crashes during uploads counted as callers that left.

Change: sender keeps the error of the connection itself. A body that ends with its connection is complete only if the write saw no reset (no error, or EPIPE, which means that the target had closed in good order before). Only a broken body closes the connection early.

--- a/io/target/connection_pool.go
+++ b/io/target/connection_pool.go
@@ -30,6 +30,8 @@
 	mutex sync.Mutex
 	// idle holds the connections per address, most recently used last.
 	idle map[string][]*connection
+	// dialer connects to an address; if nil, a net.Dialer with dialTimeout does.
+	dialer func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // connection is one connection to a target.
@@ -37,6 +39,7 @@
 	net.Conn
 	limited *limitedReader
 	reader  *bufio.Reader
+	sender  *sender
 	writer  *bufio.Writer
 	address string
 	usedAt  time.Time
@@ -63,12 +66,12 @@
 	for {
 		candidate := pool.pop(address, request)
 		if candidate == nil {
-			return dial(ctx, address)
+			return pool.dial(ctx, address)
 		}
 		if now.Sub(candidate.usedAt) >= idleMax && idleMax < idleTimeout {
 			// Other calls may still use it. The remaining ones are older.
 			pool.put(candidate)
-			return dial(ctx, address)
+			return pool.dial(ctx, address)
 		}
 		if now.Sub(candidate.usedAt) < idleTimeout && candidate.usable() {
 			return candidate, nil
@@ -92,17 +95,25 @@
 	return nil
 }
 
-func dial(ctx context.Context, address string) (*connection, error) {
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+func (pool *connectionPool) dial(ctx context.Context, address string) (*connection, error) {
+	connect := pool.dialer
+	if connect == nil {
+		connect = func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+		}
+	}
+	conn, err := connect(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	limited := &limitedReader{Reader: conn}
+	sender := &sender{conn: conn}
 	return &connection{
 		Conn:    conn,
 		limited: limited,
 		reader:  bufio.NewReaderSize(limited, bufferBytes),
-		writer:  bufio.NewWriterSize(conn, bufferBytes),
+		sender:  sender,
+		writer:  bufio.NewWriterSize(sender, bufferBytes),
 		address: address,
 	}, nil
 }
--- a/io/target/delivery_exchange.go
+++ b/io/target/delivery_exchange.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -24,9 +23,6 @@
 	// a non-idempotent call. The target may have dropped an older connection,
 	// and such a call cannot be retried.
 	nonIdempotentIdleMax = 400 * time.Millisecond
-	// requestWriteTimeout is how long a target that responded early may take to
-	// read the rest of the request before its connection is closed.
-	requestWriteTimeout = 500 * time.Millisecond
 )
 
 var (
@@ -35,9 +31,6 @@
 	// errMismatchedResponse means that a connection returned responses to other
 	// requests.
 	errMismatchedResponse = errors.New("target: answers to other requests")
-	// errBodyBroken means that the body of the call ended early on its way to this
-	// host.
-	errBodyBroken = errors.New("target: the body of the call ended early")
 )
 
 // targetResponse is a complete response of a target.
@@ -48,7 +41,9 @@
 	// contentLength is the length of the body. For a response to a HEAD request
 	// it is the announced length, while the body is empty.
 	contentLength int64
-	metadata      balsamproxy.ResponseMetadata
+	// endsWithConnection is set if the body ended with the connection.
+	endsWithConnection bool
+	metadata           balsamproxy.ResponseMetadata
 }
 
 // exchange sends the call on one connection and reads the complete response.
@@ -67,21 +62,8 @@
 		return nil, errors.Join(errNotSent, err)
 	}
 	release := context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Unix(1, 0)) })
-	var broken atomic.Bool
-	written := task.Start(ctx, func(context.Context) error {
-		err := writeRequest(connection, request)
-		if isBodyBroken(err) {
-			broken.Store(true)
-			_ = connection.Close()
-		}
-		return err
-	})
-	received, reusable, err := delivery.readResponse(connection, request)
-	if err != nil && broken.Load() {
-		err = errors.Join(errBodyBroken, err)
-	}
-	complete := err == nil && waitWritten(connection, written)
-	if !release() || !complete || !reusable {
+	received, reusable, err := delivery.exchangeOn(ctx, connection, request)
+	if !release() || !reusable {
 		_ = connection.Close()
 	} else {
 		delivery.local.connections.putIdle(connection, delivery.local.Clock.Now())
@@ -89,34 +71,23 @@
 	return received, err
 }
 
-func writeRequest(connection *connection, request *http.Request) error {
-	if err := request.Write(connection.writer); err != nil {
-		return err
+// exchangeOn sends a request on a connection and reads the complete response. It also reports
+// whether the connection is reusable.
+func (delivery *delivery) exchangeOn(ctx context.Context, connection *connection, request *http.Request) (*targetResponse, bool, error) {
+	written := task.Start(ctx, func(context.Context) error { return connection.sendRequest(request) })
+	received, reusable, err := delivery.readResponse(connection, request)
+	if err != nil {
+		if connection.sender.bodyBroken.Load() {
+			err = errors.Join(errBodyBroken, err)
+		}
+		return nil, false, err
 	}
-	return connection.writer.Flush()
-}
-
-// isBodyBroken reports whether writing a request failed because of its body and not
-// because of the connection. A target may respond and then reset the connection before
-// it has read the body; its response is read nevertheless.
-func isBodyBroken(err error) bool {
-	var failed *net.OpError
-	return err != nil && !errors.As(err, &failed)
-}
-
-// waitWritten waits until the request is written, in case the target responded
-// early. If it returns false, the goroutine that writes the request may still wait for
-// a part of the body; it ends with the context of the call.
-func waitWritten(connection *connection, written <-chan error) bool {
-	timer := time.NewTimer(requestWriteTimeout)
-	defer timer.Stop()
-	select {
-	case err := <-written:
-		return err == nil
-	case <-timer.C:
-		_ = connection.Close()
-		return false
+	sent, sendErr := connection.waitSent(written)
+	if sent && received.endsWithConnection && connection.sawReset() {
+		_ = received.body.Close()
+		return nil, false, errAnswerReset
 	}
+	return received, reusable && sent && sendErr == nil, nil
 }
 
 // readResponse reads the response to a request and skips responses to other
@@ -163,6 +134,8 @@
 		header:        httpresponse.CleanHeader(response.Header),
 		body:          body,
 		contentLength: body.length,
+
+		endsWithConnection: endsWithConnection(response),
 	}
 	if response.Request.Method == http.MethodHead {
 		received.contentLength = response.ContentLength
--- a/io/target/exchange.go
+++ b/io/target/exchange.go
@@ -51,14 +51,10 @@
 // all of it.
 func (exchange *exchange) write(request *http.Request) error {
 	if isBuffered(request.Body) {
-		return exchange.writeAll(request)
+		return exchange.connection.sendRequest(request)
 	}
 	exchange.written = task.Start(exchange.context, func(context.Context) error {
-		err := exchange.writeAll(request)
-		if err != nil {
-			_ = exchange.connection.Close()
-		}
-		return err
+		return exchange.connection.sendRequest(request)
 	})
 	return nil
 }
@@ -72,13 +68,6 @@
 	return ok
 }
 
-func (exchange *exchange) writeAll(request *http.Request) error {
-	if err := request.Write(exchange.connection.writer); err != nil {
-		return err
-	}
-	return exchange.connection.writer.Flush()
-}
-
 // readHead reads the head of the final response.
 func (exchange *exchange) readHead(request *http.Request) error {
 	response, err := exchange.connection.readFinalResponse(request) //nolint:bodyclose // the exchange wraps the body
@@ -101,12 +90,29 @@
 // Read reads from the response body.
 func (exchange *exchange) Read(buffer []byte) (int, error) {
 	count, err := exchange.response.Body.Read(buffer)
-	if errors.Is(err, io.EOF) {
-		exchange.complete = true
+	if !errors.Is(err, io.EOF) {
+		return count, err
+	}
+	if endsWithConnection(exchange.response) && exchange.wasReset() {
+		return count, errAnswerReset
 	}
+	exchange.complete = true
 	return count, err
 }
 
+// wasReset reports whether the connection was reset while the request was written.
+func (exchange *exchange) wasReset() bool {
+	if exchange.written == nil {
+		return false
+	}
+	sent, _ := exchange.connection.waitSent(exchange.written)
+	if !sent {
+		return false
+	}
+	exchange.written = nil
+	return exchange.connection.sawReset()
+}
+
 // Close ends the exchange. The connection is returned to the pool if the
 // response was read completely and the request was written completely.
 func (exchange *exchange) Close() error {
