Soak: mass kills around leavings, rows of requests, uploads answered in part

--mass-kills: in an outage of the store (silent, slow, refusing, answers lost, or none) up to two targets leave, and all daemons are killed together or one after another, once or twice.

--- a/cmd/balsamproxy-soak/main.go
+++ b/cmd/balsamproxy-soak/main.go
@@ -28,6 +28,8 @@
 	RestoreStore  bool          `long:"restore-store" description:"also restore the store from old copies"`
 	Hostile       bool          `long:"hostile-callers" description:"also play callers that do not end what they begin"`
 	Departures    bool          `long:"departures" description:"also play targets that leave around outages and restarts, and a request that crashes targets beside a popular page"`
+	MassKills     bool          `long:"mass-kills" description:"also kill all daemons around outages of the store in which targets leave"`
+	Pipelines     bool          `long:"pipelines" description:"also send rows of requests on one connection, and uploads that are answered early and in part"`
 	Program       string        `long:"program" description:"the program under test; built from this module if not given"`
 	Logs          string        `long:"logs" description:"directory for settings and logs; a temporary one if not given"`
 }
@@ -95,6 +97,7 @@
 		report, err := soak.Run(ctx, soak.Options{
 			Program: program, Directory: logs, Seed: seed, FaultDuration: options.FaultDuration, Daemons: options.Daemons, Callers: options.Callers,
 			RestoreStore: options.RestoreStore, HostileCallers: options.Hostile, Departures: options.Departures,
+			MassKills: options.MassKills, Pipelines: options.Pipelines,
 		})
 		if err != nil {
 			return failed, err
@@ -129,6 +132,12 @@
 	if options.Departures {
 		flags += " --departures"
 	}
+	if options.MassKills {
+		flags += " --mass-kills"
+	}
+	if options.Pipelines {
+		flags += " --pipelines"
+	}
 	fmt.Printf("  logs: %s\n  reproduce with: go run ./cmd/balsamproxy-soak --seed %d --lasts %v --daemons %d --callers %d%s\n",
 		logs, seed, options.FaultDuration, options.Daemons, options.Callers, flags)
 	return true
