--- a/cmd/balsamproxy-soak/main.go
+++ b/cmd/balsamproxy-soak/main.go
@@ -29,7 +29,7 @@
 	Hostile       bool          `long:"hostile-callers" description:"also play callers that do not end what they begin"`
 	Departures    bool          `long:"departures" description:"also play targets that leave around outages and restarts, and a request that crashes targets beside a popular page"`
 	MassKills     bool          `long:"mass-kills" description:"also kill all daemons around outages of the store in which targets leave"`
-	Pipelines     bool          `long:"pipelines" description:"also send rows of requests on one connection, and uploads that are answered early and in part"`
+	Pipelines     bool          `long:"pipelines" description:"also send pipelined requests, and uploads that are answered early and in part"`
 	Program       string        `long:"program" description:"the program under test; built from this module if not given"`
 	Logs          string        `long:"logs" description:"directory for settings and logs; a temporary one if not given"`
 }
--- a/io/http1/limit.go
+++ b/io/http1/limit.go
@@ -181,7 +181,7 @@
 		next.charge = charge
 		return shortage
 	}
-	if last != nil && (connection.mayNotQueue() || !budget.Requesting.Empty() || enough() != memory.NoShortage) {
+	if last != nil && (connection.queueFull() || !budget.Requesting.Empty() || enough() != memory.NoShortage) {
 		<-last.done
 	}
 	if next.charge == nil && !connection.server.reclaim(enough) {
@@ -191,9 +191,9 @@
 	return true
 }
 
-// mayNotQueue reports whether too many requests of the connection are in flight to read
-// another one. Long queues leave half of the memory for requests to other callers.
-func (connection *connection) mayNotQueue() bool {
+// queueFull reports whether too many requests of the connection are in flight to read another
+// one. Long queues leave half of the memory for requests to other callers.
+func (connection *connection) queueFull() bool {
 	inFlight := connection.inFlight.Load()
 	return inFlight > pipelineMax || inFlight > runningMax && connection.server.budget().OverheadHalfUsed()
 }
