http1: uploads that wait for their turn use half of the memory for bodies at most

Its callers send 16 uploads of 1 MiB each, which may run once only, on one connection and read no answer. Since requests are read ahead, all of them were read while they waited, before only the one behind the first.

Change: a body of more than 64 KiB is read behind others while bodies use less than half of their memory. TestUploadsBehindAnother failed without it.

--- a/io/http1/limit.go
+++ b/io/http1/limit.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -198,6 +199,16 @@
 	return inFlight > pipelineMax || inFlight > runningMax && connection.server.budget().OverheadHalfUsed()
 }
 
+// awaitBodyRoom waits until the requests in front have been answered if the body of the next
+// one is not small and bodies use half of their memory. Those that wait for their turn leave
+// the other half to requests that can run.
+func (connection *connection) awaitBodyRoom(head *http.Request, last *pending) {
+	small := head.ContentLength >= 0 && head.ContentLength <= memory.SmallBytes
+	if last != nil && !small && connection.server.budget().RequestsHalfUsed() {
+		<-last.done
+	}
+}
+
 // receiving is the state of the request that a connection reads.
 const (
 	notReceiving int32 = iota
--- a/io/http1/receive.go
+++ b/io/http1/receive.go
@@ -87,6 +87,7 @@
 		refusal = connection.holdHead(body, limits)
 	}
 	if refusal == nil {
+		connection.awaitBodyRoom(head, last)
 		refusal = connection.receiveBody(body, head, limits)
 	}
 	if !connection.endReceiving() {
--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -30,6 +31,8 @@
 	release map[string]chan struct{}
 	// disconnected receives the path of each request whose caller disconnected.
 	disconnected chan string
+	// bodyBytes is the longest body, 100 if zero.
+	bodyBytes int
 }
 
 func (handler *handler) Handle(ctx context.Context, request *http1.Request) http1.Response {
@@ -71,7 +74,7 @@
 }
 
 func (handler *handler) Limits() http1.Limits {
-	return http1.Limits{HeaderBytes: 2000, BodyBytes: 100, HeaderTimeout: testTimeout, IdleTimeout: testTimeout}
+	return http1.Limits{HeaderBytes: 2000, BodyBytes: cmp.Or(handler.bodyBytes, 100), HeaderTimeout: testTimeout, IdleTimeout: testTimeout}
 }
 
 func start(t *testing.T, release map[string]chan struct{}) (*http1.Server, *handler, net.Conn) {
--- a/io/http1/turn_test.go
+++ b/io/http1/turn_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"balsamproxy/core/memory"
+	"balsamproxy/task"
 )
 
 const (
@@ -83,3 +88,40 @@
 	}
 	assert.Equal(t, len(handler.started), 0)
 }
+
+// TestUploadsBehindAnother guards against uploads that wait for their turn and use up the memory
+// for bodies of requests that could run.
+func TestUploadsBehindAnother(t *testing.T) {
+	const (
+		uploads     = 64
+		uploadBytes = 2 * memory.SmallBytes
+		requests    = 16 * uploadBytes
+	)
+	release := map[string]chan struct{}{"/first": make(chan struct{})}
+	server, handler := prepare(release)
+	handler.bodyBytes = uploadBytes
+	server.Bodies = memory.NewBudget(1<<30, requests)
+	listener := listen(t)
+	run(t, server, listener)
+	conn := dial(t, listener)
+	upload := fmt.Sprintf("PUT /order HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", uploadBytes, strings.Repeat("x", uploadBytes))
+	written := task.Start(t.Context(), func(context.Context) error {
+		_, err := io.WriteString(conn, fmt.Sprintf(getRequest, "/first")+strings.Repeat(upload, uploads))
+		return err
+	})
+	<-handler.started
+	for server.Bodies.Usage().Requests < requests/2 {
+		// Some are read ahead.
+		continue
+	}
+	for range 10_000 {
+		// The last one may begin just below the half. Its buffer may be longer than its body.
+		assert.Assert(t, server.Bodies.Usage().Requests < requests/2+2*uploadBytes)
+	}
+	close(release["/first"])
+	reader := bufio.NewReader(conn)
+	for range 1 + uploads {
+		assert.Equal(t, read(t, reader).status, 200)
+	}
+	assert.NilError(t, <-written)
+}
