http1: a request does not begin once its caller has left

Its turn had come, since those in front had given up theirs, and its context had ended; either could be chosen. The context is looked at first now.

--- a/io/http1/connection_test.go
+++ b/io/http1/connection_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"context"
 	"io"
 	"net"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"balsamproxy"
 	"balsamproxy/core/memory"
 )
 
@@ -101,3 +103,22 @@
 	connection.endRequest()
 	checkSpared()
 }
+
+// TestNoTurnAfterTheEnd guards against a request that begins after its caller has left, when the
+// requests in front give up their turns for the same reason.
+func TestNoTurnAfterTheEnd(t *testing.T) {
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 100 {
+		serverConn, _ := pipe(t)
+		connection := newConnection(&Server{Handler: stubHandler{}}, serverConn)
+		front := &pending{done: make(chan struct{})}
+		front.turn = &Turn{connection: connection, own: front, passed: make(chan struct{})}
+		front.turn.pass()
+		charge, _ := connection.server.budget().Charge(requestBytes, 0)
+		next := &pending{charge: charge}
+		next.turn = &Turn{connection: connection, own: next, ahead: front, passed: make(chan struct{})}
+		refusal := next.turn.Wait(ended, true)
+		assert.Assert(t, refusal != nil && refusal.Outcome == balsamproxy.OutcomeNotRun)
+	}
+}
--- a/io/http1/turn.go
+++ b/io/http1/turn.go
@@ -41,6 +41,10 @@
 			}
 		}
 	}
+	if ctx.Err() != nil {
+		// Those in front may have passed for the same reason.
+		return ended(ctx)
+	}
 	select {
 	case turn.connection.running <- struct{}{}:
 		turn.running = true
