--- a/io/http1/body.go
+++ b/io/http1/body.go
@@ -26,7 +26,7 @@
 
 // receiveBody reads the body into memory. If it refuses the request, it releases the
 // body.
-func (connection *connection) receiveBody(body *memory.Body, head *http.Request, limits Limits, last *pending) *balsamproxy.Refusal {
+func (connection *connection) receiveBody(body *memory.Body, head *http.Request, limits Limits) *balsamproxy.Refusal {
 	if head.Body == http.NoBody || head.ContentLength == 0 {
 		return nil
 	}
@@ -42,7 +42,7 @@
 	reception := &reception{body: body, released: make(chan struct{})}
 	connection.reception.Store(reception)
 	connection.limited.turn.Enable()
-	refusal := connection.fillBody(body, head.Body, limits, last)
+	refusal := connection.fillBody(body, head.Body, limits)
 	connection.limited.turn.Disable()
 	connection.reception.Store(nil)
 	if reception.abandoned.Load() && refusal != nil {
@@ -59,7 +59,7 @@
 
 // fillBody reads the body to its end. A byte is read ahead of each new piece, since
 // the body may end where a piece does.
-func (connection *connection) fillBody(body *memory.Body, reader io.Reader, limits Limits, last *pending) *balsamproxy.Refusal {
+func (connection *connection) fillBody(body *memory.Body, reader io.Reader, limits Limits) *balsamproxy.Refusal {
 	server := connection.server
 	var ahead [1]byte
 	for {
@@ -75,9 +75,6 @@
 		if full && count > 0 {
 			// Those that give way need a turn to end.
 			connection.limited.turn.End()
-			if body.Len() >= memory.SmallBytes {
-				connection.awaitBodyRoom(last)
-			}
 			if !server.reclaimBodies(body.Grow) {
 				return connection.refuseBody()
 			}
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -149,6 +149,10 @@
 		connection.receivingSince.Store(now.UnixNano())
 		connection.receiving.Store(receiving)
 		next := connection.receive(last)
+		if next.request != nil && last != nil && next.request.Body.Len() > memory.SmallBytes {
+			// Long uploads that wait would use the memory and the time of requests that can run.
+			<-last.done
+		}
 		if next.request != nil && !connection.charge(next, last) {
 			next.request.Body.Release()
 			connection.refuse(next, connection.refuseBody())
--- a/io/http1/limit.go
+++ b/io/http1/limit.go
@@ -198,15 +198,6 @@
 	return inFlight > pipelineMax || inFlight > runningMax && connection.server.budget().OverheadHalfUsed()
 }
 
-// awaitBodyRoom waits until the requests in front have been answered if there are several.
-// Long uploads that wait for their turn would use the memory and the time of requests that can
-// run.
-func (connection *connection) awaitBodyRoom(last *pending) {
-	if last != nil && connection.inFlight.Load() > 2 {
-		<-last.done
-	}
-}
-
 // receiving is the state of the request that a connection reads.
 const (
 	notReceiving int32 = iota
--- a/io/http1/receive.go
+++ b/io/http1/receive.go
@@ -87,7 +87,7 @@
 		refusal = connection.holdHead(body, limits)
 	}
 	if refusal == nil {
-		refusal = connection.receiveBody(body, head, limits, last)
+		refusal = connection.receiveBody(body, head, limits)
 	}
 	if !connection.endReceiving() {
 		// The caller does not get the response.
