--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -91,7 +91,7 @@
 	{"shape", (*transaction).validate},
 	{"route", (*transaction).findRoute},
 	{"account", (*transaction).authenticate},
-	{"turn", (*transaction).awaitTurn},
+	{"pipeline", (*transaction).awaitPosition},
 	{"stop", (*transaction).checkStop},
 	{"evidence", (*transaction).checkEvidence},
 	{"throttle", (*transaction).checkThrottle},
@@ -250,10 +250,10 @@
 	return nil
 }
 
-// awaitTurn waits for the requests in front on the caller's connection. Only what may run
+// awaitPosition waits for the requests in front on the caller's connection. Only what may run
 // more than once runs beside them.
-func (transaction *transaction) awaitTurn(ctx context.Context) *balsamproxy.Refusal {
-	refusal := transaction.request.Turn.Wait(ctx, transaction.route.Idempotent)
+func (transaction *transaction) awaitPosition(ctx context.Context) *balsamproxy.Refusal {
+	refusal := transaction.request.Position.Wait(ctx, transaction.route.Idempotent)
 	if refusal != nil && isRecalled(ctx) {
 		return recalledRefusal()
 	}
--- a/io/http1/connection.go
+++ b/io/http1/connection.go
@@ -66,8 +66,8 @@
 	request *Request
 	// charge is the memory for the request and its response on their way.
 	charge *memory.Charge
-	// turn is the place of the request among those of the connection.
-	turn *Turn
+	// position is that of the request among those of the connection.
+	position *Position
 	// response receives the response, and next the request behind this one.
 	response chan Response
 	next     chan *pending
@@ -295,7 +295,7 @@
 		response := connection.server.Handler.Handle(ctx, next.request)
 		next.request.Body.Release()
 		next.charge.ShrinkWindow(windowOf(response))
-		next.turn.end()
+		next.position.end()
 		next.response <- response
 		return nil
 	})
--- a/io/http1/connection_test.go
+++ b/io/http1/connection_test.go
@@ -104,21 +104,21 @@
 	checkSpared()
 }
 
-// TestNoTurnAfterTheEnd guards against a request that begins after its caller has left, when the
-// requests in front give up their turns for the same reason.
-func TestNoTurnAfterTheEnd(t *testing.T) {
+// TestNoStartAfterTheEnd guards against a request that begins after its caller has left, when the
+// requests in front give up their positions for the same reason.
+func TestNoStartAfterTheEnd(t *testing.T) {
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	for range 100 {
 		serverConn, _ := pipe(t)
 		connection := newConnection(&Server{Handler: stubHandler{}}, serverConn)
 		front := &pending{done: make(chan struct{})}
-		front.turn = &Turn{connection: connection, own: front, passed: make(chan struct{})}
-		front.turn.pass()
+		front.position = &Position{connection: connection, own: front, passed: make(chan struct{})}
+		front.position.pass()
 		charge, _ := connection.server.budget().Charge(requestBytes, 0)
 		next := &pending{charge: charge}
-		next.turn = &Turn{connection: connection, own: next, ahead: front, passed: make(chan struct{})}
-		refusal := next.turn.Wait(ended, true)
+		next.position = &Position{connection: connection, own: next, ahead: front, passed: make(chan struct{})}
+		refusal := next.position.Wait(ended, true)
 		assert.Assert(t, refusal != nil && refusal.Outcome == balsamproxy.OutcomeNotRun)
 	}
 }
--- a/io/http1/turn.go
+++ b/io/http1/position.go
@@ -9,9 +9,9 @@
 	"balsamproxy/core/memory"
 )
 
-// Turn is the place of a request behind others on its connection. Handlers call Wait before
-// they act on the request. A nil Turn is that of a request without a connection.
-type Turn struct {
+// Position is the place of a request behind others on its connection. Handlers call Wait before
+// they act on the request. A nil Position is that of a request without a connection.
+type Position struct {
 	connection *connection
 	own        *pending
 	// ahead is the request in front, nil if there is none.
@@ -26,17 +26,17 @@
 // Wait waits until the request may run and returns nil. A request that may run concurrently
 // begins after those in front have begun, any other one after they have been answered. If ctx
 // ends first, or there is no memory, it returns why the request has not run.
-func (turn *Turn) Wait(ctx context.Context, concurrent bool) *balsamproxy.Refusal {
-	if turn == nil {
+func (position *Position) Wait(ctx context.Context, concurrent bool) *balsamproxy.Refusal {
+	if position == nil {
 		return nil
 	}
-	defer turn.pass()
-	if turn.ahead != nil {
-		if refusal := await(ctx, turn.ahead.turn.passed); refusal != nil {
+	defer position.pass()
+	if position.ahead != nil {
+		if refusal := await(ctx, position.ahead.position.passed); refusal != nil {
 			return refusal
 		}
 		if !concurrent {
-			if refusal := await(ctx, turn.ahead.done); refusal != nil {
+			if refusal := await(ctx, position.ahead.done); refusal != nil {
 				return refusal
 			}
 		}
@@ -46,44 +46,44 @@
 		return ended(ctx)
 	}
 	select {
-	case turn.connection.running <- struct{}{}:
-		turn.running = true
+	case position.connection.running <- struct{}{}:
+		position.running = true
 	case <-ctx.Done():
 		return ended(ctx)
 	}
-	return turn.takeWindow(ctx)
+	return position.takeWindow(ctx)
 }
 
 // takeWindow takes the memory for the bodies on their way. If it is short, a request behind
 // others waits until they have been answered; the first one may take it from connections
 // that lag.
-func (turn *Turn) takeWindow(ctx context.Context) *balsamproxy.Refusal {
-	budget := turn.connection.server.budget()
-	grow := func() memory.Shortage { return turn.own.charge.GrowWindow(memory.WindowBytes) }
-	if turn.ahead != nil {
+func (position *Position) takeWindow(ctx context.Context) *balsamproxy.Refusal {
+	budget := position.connection.server.budget()
+	grow := func() memory.Shortage { return position.own.charge.GrowWindow(memory.WindowBytes) }
+	if position.ahead != nil {
 		if budget.Requesting.Empty() && grow() == memory.NoShortage {
 			return nil
 		}
-		if refusal := await(ctx, turn.ahead.done); refusal != nil {
+		if refusal := await(ctx, position.ahead.done); refusal != nil {
 			return refusal
 		}
 	}
-	if !turn.connection.server.reclaim(grow) {
-		return turn.connection.refuseBody()
+	if !position.connection.server.reclaim(grow) {
+		return position.connection.refuseBody()
 	}
 	return nil
 }
 
 // pass lets the next request begin.
-func (turn *Turn) pass() { turn.passOnce.Do(func() { close(turn.passed) }) }
+func (position *Position) pass() { position.passOnce.Do(func() { close(position.passed) }) }
 
 // end returns the place of the request when it has been handled. The requests in front are
 // forgotten: each would keep all those before it.
-func (turn *Turn) end() {
-	turn.pass()
-	turn.ahead = nil
-	if turn.running {
-		<-turn.connection.running
+func (position *Position) end() {
+	position.pass()
+	position.ahead = nil
+	if position.running {
+		<-position.connection.running
 	}
 }
 
--- a/io/http1/receive.go
+++ b/io/http1/receive.go
@@ -80,7 +80,7 @@
 func (connection *connection) receive(last *pending) *pending {
 	limits := connection.server.Handler.Limits().withDefaults()
 	next := &pending{response: make(chan Response, 1), next: make(chan *pending, 1), done: make(chan struct{})}
-	next.turn = &Turn{connection: connection, own: next, ahead: last, passed: make(chan struct{})}
+	next.position = &Position{connection: connection, own: next, ahead: last, passed: make(chan struct{})}
 	head, refusal := connection.receiveHead(limits)
 	body := connection.server.budget().NewBody()
 	if refusal == nil {
@@ -99,7 +99,7 @@
 		return next
 	}
 	next.closeAfter = head.Close
-	next.request = &Request{Head: head, Body: body, ReadAt: time.Now(), Turn: next.turn}
+	next.request = &Request{Head: head, Body: body, ReadAt: time.Now(), Position: next.position}
 	return next
 }
 
@@ -107,7 +107,7 @@
 func (connection *connection) refuse(next *pending, refusal *balsamproxy.Refusal) {
 	next.request = nil
 	next.closeAfter = true
-	next.turn.pass()
+	next.position.pass()
 	next.response <- connection.server.Handler.HandleMalformed(refusal)
 }
 
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -92,8 +92,8 @@
 	Body *memory.Body
 	// ReadAt is when the request was read completely.
 	ReadAt time.Time
-	// Turn is the place of the request behind others on its connection.
-	Turn *Turn
+	// Position is that of the request behind others on its connection.
+	Position *Position
 }
 
 // Response is the response to one request.
@@ -111,7 +111,7 @@
 type Handler interface {
 	// Handle processes one request. The context is cancelled when the caller
 	// disconnects. It is called as soon as the request has been read, so it must wait for
-	// the request's Turn before it acts on it.
+	// the request's Position before it acts on it.
 	Handle(ctx context.Context, request *Request) Response
 	// HandleMalformed returns the response to input that was refused before it
 	// became a Request.
--- a/io/http1/server_test.go
+++ b/io/http1/server_test.go
@@ -37,7 +37,7 @@
 
 func (handler *handler) Handle(ctx context.Context, request *http1.Request) http1.Response {
 	path := request.Head.URL.Path
-	if refusal := request.Turn.Wait(ctx, request.Head.Method == http.MethodGet); refusal != nil {
+	if refusal := request.Position.Wait(ctx, request.Head.Method == http.MethodGet); refusal != nil {
 		return handler.HandleMalformed(refusal)
 	}
 	handler.started <- path
